Add the build, the design page and the contracts of the core

Cause: the parts are written side by side and need fixed interfaces first. Change: Maven modules core, server, standins and bench with formatter, Checkstyle and Error Prone bound to the build; ids, exceptions, clock, platform interfaces with in-memory implementations, configuration records and peer messages; docs/design.md with numbered requirements.

--- /dev/null
+++ b/core/src/main/java/org/clementinequay/core/AttemptId.java
@@ -0,0 +1,25 @@
+package org.clementinequay.core;
+
+/**
+ * Identity of one attempt to run a request on an upstream.
+ *
+ * @param request the request
+ * @param number number of the attempt within the request, from 1, counted over retries and cascade
+ *     steps
+ */
+public record AttemptId(RequestId request, int number) {
+  /** Parses the form produced by {@link #toString()}. */
+  public static AttemptId parse(String text) {
+    int dot = text.lastIndexOf('.');
+    if (dot < 0) {
+      throw new IllegalArgumentException("not an attempt id: " + text);
+    }
+    return new AttemptId(
+        RequestId.parse(text.substring(0, dot)), Integer.parseInt(text.substring(dot + 1)));
+  }
+
+  @Override
+  public String toString() {
+    return request + "." + number;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/clementinequay/core/platform/AnswerLostException.java
@@ -0,0 +1,16 @@
+package org.clementinequay.core.platform;
+
+/** The call was sent but its answer did not arrive; a write may have taken effect. */
+public final class AnswerLostException extends PlatformException {
+  private static final long serialVersionUID = 1L;
+
+  /** Creates an exception without a cause. */
+  public AnswerLostException(String message) {
+    super(message, null);
+  }
+
+  /** Creates an exception with a cause. */
+  public AnswerLostException(String message, Throwable cause) {
+    super(message, cause);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/clementinequay/core/platform/PlatformUnavailableException.java
@@ -0,0 +1,16 @@
+package org.clementinequay.core.platform;
+
+/** The service could not be reached or refused to serve; nothing was written. */
+public final class PlatformUnavailableException extends PlatformException {
+  private static final long serialVersionUID = 1L;
+
+  /** Creates an exception without a cause. */
+  public PlatformUnavailableException(String message) {
+    super(message, null);
+  }
+
+  /** Creates an exception with a cause. */
+  public PlatformUnavailableException(String message, Throwable cause) {
+    super(message, cause);
+  }
+}
