--- /dev/null
+++ b/core/src/main/java/org/clementinequay/core/placement/Placement.java
@@ -0,0 +1,17 @@
+package org.clementinequay.core.placement;
+
+/**
+ * A chosen upstream.
+ *
+ * @param upstream name of the upstream
+ * @param estimatedMillis estimated time to the end of the answer in milliseconds; NaN if the policy
+ *     makes no estimate
+ * @param estimatedWaitMillis estimated time before the upstream starts on the request, in
+ *     milliseconds; NaN if the policy makes no estimate
+ */
+public record Placement(String upstream, double estimatedMillis, double estimatedWaitMillis) {
+  /** Returns a choice without estimates. */
+  public static Placement withoutEstimate(String upstream) {
+    return new Placement(upstream, Double.NaN, Double.NaN);
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/clementinequay/core/limit/LoadShedderTest.java
@@ -0,0 +1,26 @@
+package org.clementinequay.core.limit;
+
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import org.testng.annotations.Test;
+
+/** Tests of {@link LoadShedder}. */
+public class LoadShedderTest {
+  /** Tests of {@link LoadShedder#admit}. */
+  public static class Admit {
+    // Guards against shedding an important class before an unimportant one.
+    @Test
+    public void lowestClassIsShedFirst() {
+      LoadShedder shedder = new LoadShedder();
+      assertTrue(shedder.admit(0, 1000, 600, 0).admitted());
+      assertFalse(shedder.admit(2, 1000, 600, 0).admitted());
+    }
+
+    // Guards against refusing everything while no estimate exists.
+    @Test
+    public void missingEstimateAdmits() {
+      assertTrue(new LoadShedder().admit(2, 1000, Double.NaN, 0).admitted());
+    }
+  }
+}
