--- /dev/null
+++ b/core/src/main/java/org/clementinequay/core/dispatch/UpstreamHealth.java
@@ -0,0 +1,86 @@
+package org.clementinequay.core.dispatch;
+
+import java.time.Duration;
+
+/**
+ * State of one upstream as seen by this entry host: a circuit breaker with single-request probes,
+ * and the leaving mark. Not thread-safe; {@link UpstreamTable} serialises access.
+ */
+final class UpstreamHealth {
+  /** Failures in a row that eject an upstream; two may be bad luck of one connection. */
+  static final int FAILURES_TO_EJECT = 3;
+
+  /** First pause before a probe. */
+  static final Duration FIRST_PROBE_AFTER = Duration.ofSeconds(1);
+
+  /** Longest pause between probes; a recovered upstream is back within this time. */
+  static final Duration MAX_PROBE_AFTER = Duration.ofSeconds(15);
+
+  private int failuresInRow;
+  private boolean ejected;
+  private boolean probing;
+  private boolean leaving;
+  private int outstanding;
+  private long probeAtNanos;
+  private Duration pause = FIRST_PROBE_AFTER;
+
+  boolean available(long nowNanos) {
+    return !leaving && (!ejected || (!probing && nowNanos - probeAtNanos >= 0));
+  }
+
+  void started() {
+    outstanding++;
+    if (ejected) {
+      probing = true;
+    }
+  }
+
+  void succeeded() {
+    outstanding--;
+    failuresInRow = 0;
+    ejected = false;
+    probing = false;
+    pause = FIRST_PROBE_AFTER;
+  }
+
+  void abandoned() {
+    outstanding--;
+    probing = false;
+  }
+
+  boolean failed(long nowNanos) {
+    outstanding--;
+    failuresInRow++;
+    boolean wasEjected = ejected;
+    if (probing || failuresInRow >= FAILURES_TO_EJECT) {
+      eject(nowNanos);
+    }
+    probing = false;
+    return ejected && !wasEjected;
+  }
+
+  void eject(long nowNanos) {
+    if (ejected) {
+      Duration doubled = pause.multipliedBy(2);
+      pause = doubled.compareTo(MAX_PROBE_AFTER) > 0 ? MAX_PROBE_AFTER : doubled;
+    }
+    ejected = true;
+    probeAtNanos = nowNanos + pause.toNanos();
+  }
+
+  void leaving(boolean value) {
+    leaving = value;
+  }
+
+  boolean isLeaving() {
+    return leaving;
+  }
+
+  boolean isEjected() {
+    return ejected;
+  }
+
+  int outstanding() {
+    return outstanding;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/clementinequay/core/dispatch/UpstreamTable.java
@@ -0,0 +1,75 @@
+package org.clementinequay.core.dispatch;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Objects;
+import org.clementinequay.core.time.RuntimeClock;
+
+/** What this entry host knows of its upstreams: outstanding work, ejection and leaving marks. */
+public final class UpstreamTable {
+  private final RuntimeClock clock;
+  private final Map<String, UpstreamHealth> byName = new HashMap<>();
+
+  /** Creates an empty table. */
+  public UpstreamTable(RuntimeClock clock) {
+    this.clock = Objects.requireNonNull(clock);
+  }
+
+  /** Returns whether new work may be sent to the upstream. */
+  public synchronized boolean available(String upstream) {
+    return health(upstream).available(clock.nanoTime());
+  }
+
+  /** Returns the attempts of this entry host in progress there. */
+  public synchronized int outstanding(String upstream) {
+    return health(upstream).outstanding();
+  }
+
+  /**
+   * Counts an attempt if the upstream takes new work at this moment; this is the last check before
+   * a dispatch.
+   */
+  public synchronized boolean tryStart(String upstream) {
+    UpstreamHealth health = health(upstream);
+    if (!health.available(clock.nanoTime())) {
+      return false;
+    }
+    health.started();
+    return true;
+  }
+
+  /** An attempt ended with a whole answer. */
+  public synchronized void succeeded(String upstream) {
+    health(upstream).succeeded();
+  }
+
+  /** An attempt ended for a reason that says nothing about the upstream. */
+  public synchronized void abandoned(String upstream) {
+    health(upstream).abandoned();
+  }
+
+  /** An attempt failed; returns whether this ejected the upstream. */
+  public synchronized boolean failed(String upstream) {
+    return health(upstream).failed(clock.nanoTime());
+  }
+
+  /** A peer ejected the upstream. */
+  public synchronized void ejectedByPeer(String upstream) {
+    UpstreamHealth health = health(upstream);
+    if (!health.isEjected()) {
+      health.eject(clock.nanoTime());
+    }
+  }
+
+  /** Marks the upstream as leaving or staying; returns whether this changed the mark. */
+  public synchronized boolean leaving(String upstream, boolean leaving) {
+    UpstreamHealth health = health(upstream);
+    boolean changed = health.isLeaving() != leaving;
+    health.leaving(leaving);
+    return changed;
+  }
+
+  private UpstreamHealth health(String upstream) {
+    return byName.computeIfAbsent(upstream, name -> new UpstreamHealth());
+  }
+}
--- /dev/null
+++ b/server/src/main/java/org/clementinequay/server/caller/CallerHandler.java
@@ -0,0 +1,153 @@
+package org.clementinequay.server.caller;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.atomic.AtomicLong;
+import org.clementinequay.core.Incarnation;
+import org.clementinequay.core.Outcome;
+import org.clementinequay.core.RefusalReason;
+import org.clementinequay.core.RequestFailedException;
+import org.clementinequay.core.RequestId;
+import org.clementinequay.core.time.RuntimeClock;
+import org.clementinequay.server.pipeline.CallerRequest;
+import org.clementinequay.server.pipeline.ErrorBody;
+import org.clementinequay.server.pipeline.Exchange;
+import org.clementinequay.server.pipeline.Pipeline;
+import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.io.Content;
+import org.eclipse.jetty.server.Handler;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.util.Callback;
+
+/** The callers' HTTP interface: reads a request, starts the pipeline, and counts open requests. */
+public final class CallerHandler extends Handler.Abstract {
+  /** Longest body of a request, in bytes. */
+  public static final int MAX_BODY_BYTES = 4 << 20;
+
+  private static final int NOT_FOUND = 404;
+  private static final int METHOD_NOT_ALLOWED = 405;
+
+  private final Pipeline pipeline;
+  private final Incarnation incarnation;
+  private final RuntimeClock clock;
+  private final CallerRequestParser parser = new CallerRequestParser();
+  private final AtomicLong sequence = new AtomicLong();
+  private final AtomicLong open = new AtomicLong();
+  private volatile boolean draining;
+
+  /** Creates the handler. */
+  public CallerHandler(Pipeline pipeline, Incarnation incarnation, RuntimeClock clock) {
+    this.pipeline = pipeline;
+    this.incarnation = incarnation;
+    this.clock = clock;
+  }
+
+  /** Refuses new requests from now on; open ones go on. */
+  public void drain() {
+    draining = true;
+  }
+
+  /** Returns the requests in progress. */
+  public long openRequests() {
+    return open.get();
+  }
+
+  @Override
+  public boolean handle(Request request, Response response, Callback callback) {
+    String path = Request.getPathInContext(request);
+    boolean known =
+        path.equals(CallerRequestParser.CHAT_PATH)
+            || (path.startsWith(CallerRequestParser.ROUTE_PREFIX)
+                && path.length() > CallerRequestParser.ROUTE_PREFIX.length());
+    RequestId id = new RequestId(incarnation, sequence.incrementAndGet());
+    if (!known || !request.getMethod().equals("POST")) {
+      int status = known ? METHOD_NOT_ALLOWED : NOT_FOUND;
+      String message = known ? "use POST" : "no such path";
+      refuse(
+          RequestFailedException.notRun(RefusalReason.MALFORMED_REQUEST, message),
+          status,
+          id,
+          response,
+          callback);
+      return true;
+    }
+    long received = clock.nanoTime();
+    open.incrementAndGet();
+    Callback counted = Callback.from(callback, open::decrementAndGet);
+    if (draining) {
+      refuse(
+          RequestFailedException.notRun(
+              RefusalReason.SHUTTING_DOWN, "this entry host is shutting down"),
+          id,
+          response,
+          counted);
+      return true;
+    }
+    if (request.getLength() > MAX_BODY_BYTES) {
+      refuse(tooLarge(), id, response, counted);
+      return true;
+    }
+    Content.Source.asByteArrayAsync(request, MAX_BODY_BYTES)
+        .whenComplete(
+            (body, failure) -> {
+              if (failure != null) {
+                refuse(unreadable(failure), id, response, counted);
+              } else {
+                start(request, path, body, id, received, response, counted);
+              }
+            });
+    return true;
+  }
+
+  private void start(
+      Request request,
+      String path,
+      byte[] body,
+      RequestId id,
+      long received,
+      Response response,
+      Callback callback) {
+    try {
+      CallerRequest parsed = parser.parse(path, request.getHeaders(), body);
+      pipeline.start(new Exchange(id, parsed, new JettyReply(response, callback), received));
+    } catch (RequestFailedException e) {
+      refuse(e, id, response, callback);
+    }
+  }
+
+  private static RequestFailedException unreadable(Throwable failure) {
+    Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
+    return cause instanceof IllegalStateException
+        ? tooLarge()
+        : RequestFailedException.notRun(
+            RefusalReason.MALFORMED_REQUEST, "the body could not be read");
+  }
+
+  private static RequestFailedException tooLarge() {
+    return RequestFailedException.notRun(
+        RefusalReason.BODY_TOO_LARGE, "the body is longer than " + MAX_BODY_BYTES + " bytes");
+  }
+
+  private static void refuse(
+      RequestFailedException failure, RequestId id, Response response, Callback callback) {
+    refuse(failure, failure.reason().httpStatus(), id, response, callback);
+  }
+
+  private static void refuse(
+      RequestFailedException failure,
+      int status,
+      RequestId id,
+      Response response,
+      Callback callback) {
+    response.setStatus(status);
+    response.getHeaders().put(HttpHeader.CONTENT_TYPE, "application/json");
+    response.getHeaders().put("X-Request-Id", id.toString());
+    response.getHeaders().put("X-Outcome", Outcome.NOT_RUN.label());
+    response.write(
+        true,
+        ByteBuffer.wrap(ErrorBody.of(failure, id).toString().getBytes(StandardCharsets.UTF_8)),
+        callback);
+  }
+}
--- /dev/null
+++ b/server/src/main/java/org/clementinequay/server/pipeline/ChatBody.java
@@ -0,0 +1,22 @@
+package org.clementinequay.server.pipeline;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import org.clementinequay.core.ModelVersion;
+
+/** Turns the body of a chat completion into the one that an engine gets. */
+final class ChatBody {
+  private static final List<String> ROUTER_FIELDS =
+      List.of("session", "request_class", "deadline_ms");
+
+  private ChatBody() {}
+
+  static byte[] forUpstream(ObjectNode chat, ModelVersion version) {
+    ObjectNode body = chat.deepCopy();
+    body.remove(ROUTER_FIELDS);
+    body.put("model", version.toString());
+    body.put("stream", true);
+    return body.toString().getBytes(StandardCharsets.UTF_8);
+  }
+}
--- /dev/null
+++ b/server/src/main/java/org/clementinequay/server/pipeline/ChatRun.java
@@ -0,0 +1,335 @@
+package org.clementinequay.server.pipeline;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.google.common.flogger.FluentLogger;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalDouble;
+import java.util.OptionalLong;
+import java.util.Set;
+import org.clementinequay.core.AttemptId;
+import org.clementinequay.core.ModelVersion;
+import org.clementinequay.core.RefusalReason;
+import org.clementinequay.core.RequestFailedException;
+import org.clementinequay.core.config.Upstream;
+import org.clementinequay.core.config.VersionSpec;
+import org.clementinequay.core.placement.PlacementRequest;
+import org.clementinequay.server.upstream.UpstreamCall;
+import org.eclipse.jetty.util.Callback;
+
+/**
+ * Runs the plan of one chat completion: step after step, each with retries on other upstreams while
+ * nothing was released to the caller, and with a resumption of the stream afterwards.
+ */
+final class ChatRun implements ChatAttempt.Owner {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+  private static final int MAX_ATTEMPTS_PER_STEP = 3;
+  private static final int MAX_RESUMPTIONS = 2;
+  private static final int DEFAULT_COMPLETION_TOKENS = 256;
+  private static final int CHARS_PER_TOKEN = 4;
+
+  private final Dispatcher dispatcher;
+  private final Exchange exchange;
+  private final Filter.Next next;
+  private final ChatReply replies;
+  private final int expectedTokens;
+  private final int promptTokens;
+
+  private int stepIndex;
+  private int triesInStep;
+  private int resumptions;
+  private int attemptNumber;
+  private boolean offered;
+  private final Set<String> triedUpstreams = new HashSet<>();
+  private UpstreamCall call;
+  private boolean writing;
+  private Runnable afterWrite;
+
+  ChatRun(Dispatcher dispatcher, Exchange exchange, ChatReply replies, Filter.Next next) {
+    this.dispatcher = dispatcher;
+    this.exchange = exchange;
+    this.replies = replies;
+    this.next = next;
+    ObjectNode chat = exchange.request().chat();
+    this.expectedTokens = chat.path("max_tokens").asInt(DEFAULT_COMPLETION_TOKENS);
+    this.promptTokens = exchange.request().body().length / CHARS_PER_TOKEN;
+  }
+
+  void start() {
+    attempt();
+  }
+
+  private PlanStep step() {
+    return exchange.plan.get(stepIndex);
+  }
+
+  private void attempt() {
+    long remaining = remainingMillis();
+    if (remaining <= 0) {
+      fail(RefusalReason.DEADLINE_EXCEEDED, "the deadline passed");
+      return;
+    }
+    ModelVersion version = step().version();
+    Optional<RefusalReason> refusal = VersionCheck.refusal(dispatcher.configuration, exchange, version);
+    if (refusal.isPresent()) {
+      skipStep(refusal.get(), "version " + version + " takes no new work");
+      return;
+    }
+    PlacementRequest request =
+        new PlacementRequest(
+            dispatcher.clock.nanoTime(),
+            exchange.requestClass.priority(),
+            remaining,
+            promptTokens,
+            expectedTokens,
+            affinityKey());
+    Optional<Upstream> upstream =
+        dispatcher.place(version.toString(), triedUpstreams, request, expectedTokens);
+    if (upstream.isEmpty()) {
+      skipStep(RefusalReason.NO_UPSTREAM, "no upstream serves " + version + " now");
+      return;
+    }
+    send(upstream.get(), version, remaining);
+  }
+
+  private void send(Upstream upstream, ModelVersion version, long remaining) {
+    triesInStep++;
+    attemptNumber++;
+    triedUpstreams.add(upstream.name());
+    AttemptId id = exchange.id().attempt(attemptNumber);
+    ChatAttempt attempt = new ChatAttempt(id, upstream, this, collects(), 0);
+    byte[] body = ChatBody.forUpstream(exchange.request().chat(), version);
+    call =
+        dispatcher.client.complete(
+            upstream, id, exchange.requestClass.priority(), body, remaining, attempt);
+  }
+
+  private boolean collects() {
+    return step().draft() || !exchange.request().stream();
+  }
+
+  /** Affinity by session, else by the start of the prompt, which upstreams cache. */
+  private OptionalLong affinityKey() {
+    return exchange
+        .request()
+        .sessionToken()
+        .map(token -> OptionalLong.of(token.hashCode()))
+        .orElseGet(
+            () ->
+                OptionalLong.of(
+                    exchange.request().chat().path("messages").path(0).toString().hashCode()));
+  }
+
+  @Override
+  public void output(ChatAttempt attempt, ByteBuffer events, Callback callback) {
+    synchronized (this) {
+      writing = true;
+    }
+    if (!exchange.replyStarted) {
+      exchange.replyStarted = true;
+      exchange.firstTokenNanos = dispatcher.clock.nanoTime();
+      replies.beginStream(exchange, step().version(), attemptNumber);
+    }
+    exchange
+        .reply()
+        .write(
+            events,
+            Callback.from(
+                () -> {
+                  callback.succeeded();
+                  written();
+                },
+                failure -> {
+                  exchange.callerGone = true;
+                  callback.failed(failure);
+                  written();
+                }));
+  }
+
+  /** Defers an end that arrives while a write to the caller is pending. */
+  private void whenIdle(Runnable action) {
+    synchronized (this) {
+      if (writing) {
+        afterWrite = action;
+        return;
+      }
+    }
+    action.run();
+  }
+
+  private void written() {
+    Runnable deferred;
+    synchronized (this) {
+      writing = false;
+      deferred = afterWrite;
+      afterWrite = null;
+    }
+    if (deferred != null) {
+      deferred.run();
+    }
+  }
+
+  @Override
+  public void whole(ChatAttempt attempt) {
+    whenIdle(() -> finishWhole(attempt));
+  }
+
+  private void finishWhole(ChatAttempt attempt) {
+    dispatcher.succeeded(attempt.upstream, expectedTokens);
+    if (step().draft()) {
+      rateDraft(attempt);
+    } else {
+      accept(attempt);
+    }
+  }
+
+  private void rateDraft(ChatAttempt attempt) {
+    dispatcher.ratings.rate(
+        step().version(),
+        exchange.className(),
+        exchange.request().chat().path("messages").toString(),
+        attempt.text(),
+        score -> draftRated(attempt, score));
+  }
+
+  /** A draft without a rating counts as rejected: quality goes before cost. */
+  private void draftRated(ChatAttempt attempt, OptionalDouble score) {
+    replies.draftRated(exchange, step().version(), score);
+    boolean accepted = score.isPresent() && score.getAsDouble() >= step().acceptScore();
+    if (accepted) {
+      accept(attempt);
+      return;
+    }
+    record(attempt, AttemptSummary.State.REJECTED_DRAFT);
+    nextStep();
+    attempt();
+  }
+
+  private void accept(ChatAttempt attempt) {
+    record(attempt, AttemptSummary.State.ACCEPTED);
+    exchange.answer =
+        new Answer(
+            Optional.of(step().version()),
+            collects() ? attempt.text() : null,
+            attempt.finishReason(),
+            attempt.promptTokens(),
+            attempt.completionTokens(),
+            null,
+            null);
+    next.proceed();
+  }
+
+  @Override
+  public void broken(ChatAttempt attempt, Throwable cause) {
+    whenIdle(() -> finishBroken(attempt, cause));
+  }
+
+  private void finishBroken(ChatAttempt attempt, Throwable cause) {
+    offered |= attempt.offered();
+    logger.atInfo().log(
+        "attempt %s on %s ended without its answer: %s", attempt.id, attempt.upstream.name(), cause);
+    if (exchange.callerGone) {
+      dispatcher.abandoned(attempt.upstream, expectedTokens);
+      stop(attempt);
+      record(attempt, AttemptSummary.State.CANCELLED);
+      fail(RefusalReason.ANSWER_INCOMPLETE, "the caller closed the connection");
+      return;
+    }
+    if (attempt.upstreamAtFault() && remainingMillis() > 0) {
+      dispatcher.failed(attempt.upstream, expectedTokens);
+    } else {
+      dispatcher.abandoned(attempt.upstream, expectedTokens);
+    }
+    if (exchange.replyStarted) {
+      resume(attempt);
+      return;
+    }
+    stop(attempt);
+    if (attempt.offered()) {
+      record(attempt, AttemptSummary.State.FAILED);
+    }
+    if (triesInStep >= MAX_ATTEMPTS_PER_STEP || !dispatcher.retries.tryRetry()) {
+      skipStep(RefusalReason.UPSTREAM_FAILED, "upstreams failed to answer");
+      return;
+    }
+    attempt();
+  }
+
+  /** Continues a stream of which the caller has a part; only its own engine has the rest. */
+  private void resume(ChatAttempt attempt) {
+    boolean may = resumptions < MAX_RESUMPTIONS && remainingMillis() > 0;
+    if (!may || !dispatcher.retries.tryRetry() || !dispatcher.health.tryStart(attempt.upstream.name())) {
+      stop(attempt);
+      record(attempt, AttemptSummary.State.FAILED);
+      fail(RefusalReason.ANSWER_INCOMPLETE, "the answer broke off and could not be resumed");
+      return;
+    }
+    resumptions++;
+    dispatcher.tracker.started(attempt.upstream.name(), expectedTokens);
+    ChatAttempt rest =
+        new ChatAttempt(attempt.id, attempt.upstream, this, false, attempt.nextSequence());
+    call =
+        dispatcher.client.resume(
+            attempt.upstream, attempt.id, attempt.nextSequence(), remainingMillis(), rest);
+  }
+
+  private void stop(ChatAttempt attempt) {
+    call.abandon(new java.io.IOException("attempt abandoned"));
+    if (attempt.offered()) {
+      dispatcher.client.cancel(attempt.upstream, attempt.id);
+    }
+  }
+
+  /** Goes on with the next step if this one cannot run; the last one fails the request. */
+  private void skipStep(RefusalReason reason, String message) {
+    if (stepIndex + 1 < exchange.plan.size()) {
+      nextStep();
+      attempt();
+    } else {
+      fail(reason, message);
+    }
+  }
+
+  private void nextStep() {
+    stepIndex++;
+    triesInStep = 0;
+    triedUpstreams.clear();
+  }
+
+  private void record(ChatAttempt attempt, AttemptSummary.State state) {
+    offered = true;
+    ModelVersion version = step().version();
+    long prompt = attempt.promptTokens() > 0 ? attempt.promptTokens() : promptTokens;
+    long completion = attempt.completionTokens();
+    long cost =
+        dispatcher
+            .configuration
+            .current()
+            .flatMap(c -> c.document().version(version))
+            .map((VersionSpec spec) -> spec.costMicros(prompt, completion))
+            .orElse(0L);
+    exchange.addAttempt(
+        new AttemptSummary(
+            attempt.id.number(),
+            Optional.of(version),
+            attempt.upstream.name(),
+            state,
+            prompt,
+            completion,
+            cost));
+  }
+
+  private void fail(RefusalReason reason, String message) {
+    next.fail(
+        offered
+            ? RequestFailedException.unknown(reason, message)
+            : RequestFailedException.notRun(reason, message));
+  }
+
+  private long remainingMillis() {
+    return (exchange.deadlineNanos - dispatcher.clock.nanoTime()) / 1_000_000;
+  }
+}
--- /dev/null
+++ b/server/src/main/java/org/clementinequay/server/pipeline/ErrorBody.java
@@ -0,0 +1,26 @@
+package org.clementinequay.server.pipeline;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.clementinequay.core.RequestFailedException;
+import org.clementinequay.core.RequestId;
+
+/** The one JSON shape of errors towards callers. */
+public final class ErrorBody {
+  private static final ObjectMapper JSON = new ObjectMapper();
+
+  private ErrorBody() {}
+
+  /** Returns the error body of a failed request. */
+  public static ObjectNode of(RequestFailedException failure, RequestId id) {
+    ObjectNode body = JSON.createObjectNode();
+    ObjectNode error =
+        body.putObject("error")
+            .put("code", failure.reason().code())
+            .put("message", failure.getMessage())
+            .put("outcome", failure.outcome().label())
+            .put("request_id", id.toString());
+    failure.retryAfter().ifPresent(after -> error.put("retry_after_ms", after.toMillis()));
+    return body;
+  }
+}
--- /dev/null
+++ b/server/src/main/java/org/clementinequay/server/pipeline/RunFilter.java
@@ -0,0 +1,23 @@
+package org.clementinequay.server.pipeline;
+
+/** Places the request on upstreams and dispatches it until its answer is whole or it fails. */
+public final class RunFilter implements Filter {
+  private final Dispatcher dispatcher;
+  private final ChatReply replies;
+
+  /** Creates the stage. */
+  public RunFilter(Dispatcher dispatcher, ChatReply replies) {
+    this.dispatcher = dispatcher;
+    this.replies = replies;
+  }
+
+  @Override
+  public void apply(Exchange exchange, Next next) {
+    dispatcher.retries.recordRequest();
+    if (exchange.request().kind() == CallerRequest.Kind.ROUTE) {
+      new RouteRun(dispatcher, exchange, next).start();
+    } else {
+      new ChatRun(dispatcher, exchange, replies, next).start();
+    }
+  }
+}
--- /dev/null
+++ b/server/src/main/java/org/clementinequay/server/pipeline/VersionCheck.java
@@ -0,0 +1,39 @@
+package org.clementinequay.server.pipeline;
+
+import java.util.Optional;
+import org.clementinequay.core.ModelVersion;
+import org.clementinequay.core.RefusalReason;
+import org.clementinequay.core.config.ClientAccount;
+import org.clementinequay.core.config.VersionSpec;
+
+/** The last check before a dispatch: permission and version state by the revision now in force. */
+final class VersionCheck {
+  private VersionCheck() {}
+
+  /** Returns why the version may not run the request now, if so. */
+  static Optional<RefusalReason> refusal(
+      ConfigurationSource source, Exchange exchange, ModelVersion version) {
+    Optional<ActiveConfiguration> active = source.current();
+    if (active.isEmpty()) {
+      return Optional.of(RefusalReason.NOT_READY);
+    }
+    Optional<ClientAccount> account = active.get().document().account(exchange.account.name());
+    if (account.isEmpty() || !active.get().access().allows(account.get(), version)) {
+      return Optional.of(RefusalReason.MODEL_NOT_ALLOWED);
+    }
+    if (exchange.session.isPresent()) {
+      return active.get().access().refusalOfBound(account.get(), version);
+    }
+    boolean accepts =
+        active
+            .get()
+            .document()
+            .version(version)
+            .map(VersionSpec::state)
+            .filter(state -> state.acceptsNewSessions())
+            .isPresent();
+    return accepts && source.usable(version)
+        ? Optional.empty()
+        : Optional.of(RefusalReason.NO_LIVE_VERSION);
+  }
+}
--- /dev/null
+++ b/server/src/main/java/org/clementinequay/server/upstream/UpstreamClient.java
@@ -0,0 +1,103 @@
+package org.clementinequay.server.upstream;
+
+import com.google.common.flogger.FluentLogger;
+import java.time.Duration;
+import java.util.concurrent.TimeUnit;
+import org.clementinequay.core.AttemptId;
+import org.clementinequay.core.config.Upstream;
+import org.eclipse.jetty.client.BytesRequestContent;
+import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.client.Request;
+import org.eclipse.jetty.http.HttpMethod;
+
+/** Sends attempts to upstreams over HTTP. */
+public final class UpstreamClient {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+  /** Time for a cancellation; the engine stops by itself when its connection is closed. */
+  private static final long CANCEL_TIMEOUT_MILLIS = 1000;
+
+  private final HttpClient client;
+  private final Duration progressTimeout;
+
+  /**
+   * Creates a client.
+   *
+   * @param progressTimeout time without a byte after which a connection is taken for dead and
+   *     closed; a connection can go silent for good while new ones work
+   */
+  public UpstreamClient(HttpClient client, Duration progressTimeout) {
+    this.client = client;
+    this.progressTimeout = progressTimeout;
+  }
+
+  /** Sends a chat completion to an engine. */
+  public UpstreamCall complete(
+      Upstream upstream,
+      AttemptId attempt,
+      int priority,
+      byte[] body,
+      long timeoutMillis,
+      UpstreamListener listener) {
+    Request request =
+        request(upstream, HttpMethod.POST, "/v1/chat/completions", timeoutMillis)
+            .headers(
+                headers ->
+                    headers
+                        .put("X-Attempt-Id", attempt.toString())
+                        .put("X-Priority", Integer.toString(priority)))
+            .body(new BytesRequestContent("application/json", body));
+    return send(request, listener);
+  }
+
+  /** Asks an engine for the rest of an attempt's stream. */
+  public UpstreamCall resume(
+      Upstream upstream,
+      AttemptId attempt,
+      long fromSequence,
+      long timeoutMillis,
+      UpstreamListener listener) {
+    String path = "/v1/attempts/" + attempt + "?from=" + fromSequence;
+    return send(request(upstream, HttpMethod.GET, path, timeoutMillis), listener);
+  }
+
+  /** Sends a call to a plain service. */
+  public UpstreamCall call(
+      Upstream upstream,
+      String route,
+      AttemptId attempt,
+      byte[] body,
+      long timeoutMillis,
+      UpstreamListener listener) {
+    Request request =
+        request(upstream, HttpMethod.POST, "/calls/" + route, timeoutMillis)
+            .headers(headers -> headers.put("X-Attempt-Id", attempt.toString()))
+            .body(new BytesRequestContent("application/json", body));
+    return send(request, listener);
+  }
+
+  /** Tells an engine to stop an attempt; the answer does not matter. */
+  public void cancel(Upstream upstream, AttemptId attempt) {
+    request(upstream, HttpMethod.DELETE, "/v1/attempts/" + attempt, CANCEL_TIMEOUT_MILLIS)
+        .send(
+            result -> {
+              if (result.isFailed()) {
+                logger.atFine().log("attempt %s could not be cancelled", attempt);
+              }
+            });
+  }
+
+  private Request request(Upstream upstream, HttpMethod method, String path, long timeoutMillis) {
+    return client
+        .newRequest("http://" + upstream.address() + path)
+        .method(method)
+        .idleTimeout(progressTimeout.toMillis(), TimeUnit.MILLISECONDS)
+        .timeout(Math.max(1, timeoutMillis), TimeUnit.MILLISECONDS);
+  }
+
+  private static UpstreamCall send(Request request, UpstreamListener listener) {
+    UpstreamCall call = new UpstreamCall(request, listener);
+    call.send();
+    return call;
+  }
+}
