--- a/core/src/main/java/org/clementinequay/core/config/VersionState.java
+++ b/core/src/main/java/org/clementinequay/core/config/VersionState.java
@@ -1,5 +1,8 @@
 package org.clementinequay.core.config;
 
+import java.util.Locale;
+import java.util.Optional;
+
 /** Life cycle state of a model version. */
 public enum VersionState {
   /** Takes a share of the new sessions and requests. */
@@ -28,4 +31,19 @@
   public boolean acceptsBoundSessions() {
     return acceptsBoundSessions;
   }
+
+  /** Returns the word used in documents. */
+  public String label() {
+    return name().toLowerCase(Locale.ROOT).replace('_', '-');
+  }
+
+  /** Returns the state of the given word. */
+  public static Optional<VersionState> ofLabel(String label) {
+    for (VersionState state : values()) {
+      if (state.label().equals(label)) {
+        return Optional.of(state);
+      }
+    }
+    return Optional.empty();
+  }
 }
