--- /dev/null
+++ b/server/src/main/java/org/clementinequay/server/peer/PeerIdentity.java
@@ -0,0 +1,44 @@
+package org.clementinequay.server.peer;
+
+import java.util.Objects;
+import org.clementinequay.core.Incarnation;
+
+/**
+ * What an entry host says of itself when a link opens.
+ *
+ * @param incarnation its process
+ * @param host its name, unique in the deployment
+ * @param domain its failure domain
+ * @param region its region
+ * @param weight its size relative to other hosts, greater than 0
+ */
+public record PeerIdentity(
+    Incarnation incarnation, String host, String domain, String region, double weight) {
+  /** Rejects missing parts and a weight that is not positive and finite. */
+  public PeerIdentity {
+    Objects.requireNonNull(incarnation);
+    Objects.requireNonNull(host);
+    Objects.requireNonNull(domain);
+    Objects.requireNonNull(region);
+    if (!(weight > 0) || Double.isInfinite(weight)) {
+      throw new IllegalArgumentException("weight is not positive: " + weight);
+    }
+  }
+
+  static PeerIdentity of(PeerMessage.Hello hello) throws InvalidFrameException {
+    try {
+      return new PeerIdentity(
+          new Incarnation(hello.incarnation()),
+          hello.host(),
+          hello.domain(),
+          hello.region(),
+          hello.weight());
+    } catch (IllegalArgumentException | NullPointerException e) {
+      throw new InvalidFrameException("hello is incomplete: " + hello, e);
+    }
+  }
+
+  PeerMessage.Hello hello(int protocol) {
+    return new PeerMessage.Hello(protocol, incarnation.id(), host, domain, region, weight);
+  }
+}
