Add long randomised runs in virtual time

Real threads run one at a time under a seeded scheduler; the table service and object store refuse, delay and lose calls; the first scenario races operators on the publisher. Wall-clock stress tests were ruled out because a violation could not be replayed.

--- /dev/null
+++ b/bench/src/main/java/org/clementinequay/bench/soak/FaultPlan.java
@@ -0,0 +1,66 @@
+package org.clementinequay.bench.soak;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.random.RandomGenerator;
+
+/**
+ * Faults of the platform over the time of a run: phases of random intensity, then quiet until the
+ * end so that recovery can be checked.
+ *
+ * @param phases phases in order of their start
+ * @param quietFromNanos virtual time from which there are no faults
+ */
+public record FaultPlan(List<Phase> phases, long quietFromNanos) {
+  private static final Phase QUIET = new Phase(0, 0, 0, 0, Duration.ofMillis(5));
+  private static final long SHORTEST_PHASE_MILLIS = 500;
+  private static final long LONGEST_PHASE_MILLIS = 8_000;
+
+  /** Copies the list. */
+  public FaultPlan {
+    phases = List.copyOf(phases);
+  }
+
+  /**
+   * Faults during one phase.
+   *
+   * @param endNanos virtual time of its end
+   * @param refuse probability that a call is refused before it takes effect
+   * @param lose probability that the answer to a call is lost after it took effect
+   * @param late probability that a write takes effect only after its caller has given up
+   * @param longestDelay longest time that a request or an answer travels
+   */
+  public record Phase(
+      long endNanos, double refuse, double lose, double late, Duration longestDelay) {}
+
+  /** Draws a plan whose faults end at the given virtual time. */
+  public static FaultPlan random(RandomGenerator random, Duration quietFrom) {
+    List<Phase> phases = new ArrayList<>();
+    long end = 0;
+    while (end < quietFrom.toNanos()) {
+      end +=
+          Duration.ofMillis(random.nextLong(SHORTEST_PHASE_MILLIS, LONGEST_PHASE_MILLIS)).toNanos();
+      end = Math.min(end, quietFrom.toNanos());
+      phases.add(
+          switch (random.nextInt(6)) {
+            case 0 -> new Phase(end, 1, 0, 0, Duration.ofMillis(20));
+            case 1 -> new Phase(end, 0.05, 0.4, 0.1, Duration.ofMillis(50));
+            case 2 -> new Phase(end, 0, 0.02, 0.02, Duration.ofSeconds(2));
+            case 3 -> new Phase(end, 0.3, 0.2, 0.1, Duration.ofMillis(300));
+            default -> new Phase(end, 0.02, 0.02, 0.01, Duration.ofMillis(10));
+          });
+    }
+    return new FaultPlan(phases, quietFrom.toNanos());
+  }
+
+  /** Returns the phase at a virtual time. */
+  public Phase at(long nanos) {
+    for (Phase phase : phases) {
+      if (nanos < phase.endNanos()) {
+        return phase;
+      }
+    }
+    return QUIET;
+  }
+}
--- /dev/null
+++ b/bench/src/main/java/org/clementinequay/bench/soak/FaultyPlatform.java
@@ -0,0 +1,126 @@
+package org.clementinequay.bench.soak;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.random.RandomGenerator;
+import org.clementinequay.core.platform.AnswerLostException;
+import org.clementinequay.core.platform.CommitResult;
+import org.clementinequay.core.platform.ObjectStore;
+import org.clementinequay.core.platform.PlatformException;
+import org.clementinequay.core.platform.PlatformUnavailableException;
+import org.clementinequay.core.platform.Row;
+import org.clementinequay.core.platform.RowKey;
+import org.clementinequay.core.platform.RowWrite;
+import org.clementinequay.core.platform.TableService;
+import org.clementinequay.core.platform.memory.CallHook;
+import org.clementinequay.core.platform.memory.InMemoryObjectStore;
+import org.clementinequay.core.platform.memory.InMemoryTableService;
+
+/**
+ * Table service and object store that fail as the fault plan says. A call travels, takes effect,
+ * and its answer travels; each of the three can fail, and other threads run in between.
+ */
+public final class FaultyPlatform {
+  /** Longest time after which a write that its caller gave up takes effect. */
+  private static final long LATEST_EFFECT_MILLIS = 3_000;
+
+  private final VirtualScheduler scheduler;
+  private final FaultPlan plan;
+  private final RandomGenerator random;
+  private final VirtualScheduler.Process network;
+  private final InMemoryTableService rows = new InMemoryTableService(CallHook.NONE);
+  private final InMemoryObjectStore objects = new InMemoryObjectStore(CallHook.NONE);
+  private final TableService table = new FaultyTableService();
+  private final ObjectStore store = new FaultyObjectStore();
+
+  /** Creates a platform without rows and objects. */
+  public FaultyPlatform(VirtualScheduler scheduler, FaultPlan plan, RandomGenerator random) {
+    this.scheduler = scheduler;
+    this.plan = plan;
+    this.random = random;
+    this.network = scheduler.process("network");
+  }
+
+  /** Returns the table service as processes see it. */
+  public TableService table() {
+    return table;
+  }
+
+  /** Returns the object store as processes see it. */
+  public ObjectStore store() {
+    return store;
+  }
+
+  /** Returns the table service without faults, for checks at the end of a run. */
+  public TableService rows() {
+    return rows;
+  }
+
+  /** Returns the object store without faults, for checks at the end of a run. */
+  public ObjectStore objects() {
+    return objects;
+  }
+
+  private interface Call<T> {
+    T apply() throws PlatformException;
+  }
+
+  /** Waits as long as a message travels in the present phase. */
+  void travel() {
+    long longest = plan.at(scheduler.nowNanos()).longestDelay().toNanos();
+    // Most messages are much faster than the slowest.
+    double part = Math.pow(random.nextDouble(), 3);
+    scheduler.sleep(Duration.ofNanos((long) (longest * part)));
+  }
+
+  private <T> T call(String operation, boolean write, Call<T> effect) throws PlatformException {
+    travel();
+    FaultPlan.Phase phase = plan.at(scheduler.nowNanos());
+    if (scheduler.currentProcess().partitioned() || random.nextDouble() < phase.refuse()) {
+      throw new PlatformUnavailableException(operation + " refused by the fault plan");
+    }
+    if (write && random.nextDouble() < phase.late()) {
+      Duration delay = Duration.ofMillis(random.nextLong(LATEST_EFFECT_MILLIS));
+      network.startAfter(delay, "late " + operation, effect::apply);
+      throw new AnswerLostException(operation + " delayed by the fault plan");
+    }
+    T answer = effect.apply();
+    travel();
+    if (scheduler.currentProcess().partitioned() || random.nextDouble() < phase.lose()) {
+      String message = "answer to " + operation + " lost by the fault plan";
+      throw write ? new AnswerLostException(message) : new PlatformUnavailableException(message);
+    }
+    return answer;
+  }
+
+  private final class FaultyTableService implements TableService {
+    @Override
+    public Optional<Row> read(RowKey key) throws PlatformException {
+      return call("read", false, () -> rows.read(key));
+    }
+
+    @Override
+    public List<Row> scan(String name, String keyPrefix, String afterKey, int limit)
+        throws PlatformException {
+      return call("scan", false, () -> rows.scan(name, keyPrefix, afterKey, limit));
+    }
+
+    @Override
+    public CommitResult commit(List<RowWrite> writes) throws PlatformException {
+      return call("commit", true, () -> rows.commit(writes));
+    }
+  }
+
+  private final class FaultyObjectStore implements ObjectStore {
+    @Override
+    public boolean putIfAbsent(String name, byte[] content) throws PlatformException {
+      return call("put", true, () -> objects.putIfAbsent(name, content));
+    }
+
+    @Override
+    public Optional<byte[]> read(String name) throws PlatformException {
+      return call("get", false, () -> objects.read(name));
+    }
+  }
+}
--- /dev/null
+++ b/bench/src/main/java/org/clementinequay/bench/soak/MutantCheck.java
@@ -0,0 +1,38 @@
+package org.clementinequay.bench.soak;
+
+import java.util.Optional;
+
+/**
+ * Whether the checks noticed that a mechanism was disabled.
+ *
+ * @param mutant the disabled mechanism
+ * @param caught whether a run had a violation
+ * @param seed the first seed that caught it, else the last one tried
+ * @param violation the first violation, or empty text
+ */
+public record MutantCheck(Mutant mutant, boolean caught, long seed, String violation) {
+  /** Seeds to try before a mutant counts as not caught. */
+  public static final int DEFAULT_SEEDS = 40;
+
+  /** Tries consecutive seeds until one catches the mutant. */
+  public static MutantCheck run(Mutant mutant, long firstSeed, int seeds) {
+    for (long seed = firstSeed; seed < firstSeed + seeds; seed++) {
+      SoakRun.Result result = mutant.scenario().run(seed, Optional.of(mutant));
+      if (!result.violations().isEmpty()) {
+        return new MutantCheck(mutant, true, seed, result.violations().get(0));
+      }
+    }
+    return new MutantCheck(mutant, false, firstSeed + seeds - 1, "");
+  }
+
+  @Override
+  public String toString() {
+    return String.format(
+        "%-16s %-32s %-10s seed %d %s",
+        mutant.scenario().label(),
+        mutant.label(),
+        caught ? "caught" : "NOT CAUGHT",
+        seed,
+        violation);
+  }
+}
--- /dev/null
+++ b/bench/src/main/java/org/clementinequay/bench/soak/ProcessFaults.java
@@ -0,0 +1,118 @@
+package org.clementinequay.bench.soak;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import java.util.random.RandomGenerator;
+
+/** Pauses, kills, partitions and misleads processes at random moments until faults end. */
+public final class ProcessFaults {
+  private static final Duration LONGEST_INTERVAL = Duration.ofSeconds(6);
+  private static final Duration LONGEST_FAULT = Duration.ofSeconds(25);
+  private static final Duration LARGEST_WALL_SHIFT = Duration.ofSeconds(60);
+
+  private final SoakRun run;
+  private final Supplier<List<VirtualScheduler.Process>> victims;
+  private final Consumer<VirtualScheduler.Process> kill;
+
+  /**
+   * Prepares faults.
+   *
+   * @param victims returns the processes that live now
+   * @param kill kills a process and may start its replacement
+   */
+  public ProcessFaults(
+      SoakRun run,
+      Supplier<List<VirtualScheduler.Process>> victims,
+      Consumer<VirtualScheduler.Process> kill) {
+    this.run = run;
+    this.victims = victims;
+    this.kill = kill;
+  }
+
+  /** Kinds of faults. */
+  public enum Kind {
+    /** The process is frozen and resumes unaware of it. */
+    PAUSE {
+      @Override
+      void begin(VirtualScheduler.Process victim, RandomGenerator random) {
+        victim.pause(true);
+      }
+
+      @Override
+      void end(VirtualScheduler.Process victim) {
+        victim.pause(false);
+      }
+    },
+    /** The process reaches neither its peers nor the platform. */
+    PARTITION {
+      @Override
+      void begin(VirtualScheduler.Process victim, RandomGenerator random) {
+        victim.partition(true);
+      }
+
+      @Override
+      void end(VirtualScheduler.Process victim) {
+        victim.partition(false);
+      }
+    },
+    /** The wall clock of the process is wrong. */
+    WALL_CLOCK {
+      @Override
+      void begin(VirtualScheduler.Process victim, RandomGenerator random) {
+        long largest = LARGEST_WALL_SHIFT.toMillis();
+        victim.shiftWallClock(Duration.ofMillis(random.nextLong(-largest, largest)));
+      }
+
+      @Override
+      void end(VirtualScheduler.Process victim) {
+        victim.shiftWallClock(Duration.ZERO);
+      }
+    },
+    /** The process ends. */
+    KILL {
+      @Override
+      void begin(VirtualScheduler.Process victim, RandomGenerator random) {}
+
+      @Override
+      void end(VirtualScheduler.Process victim) {}
+    };
+
+    abstract void begin(VirtualScheduler.Process victim, RandomGenerator random);
+
+    abstract void end(VirtualScheduler.Process victim);
+  }
+
+  /** Starts threads that cause faults; as many faults overlap as there are threads. */
+  public void start(int threads, List<Kind> kinds) {
+    VirtualScheduler.Process process = run.scheduler().process("faults");
+    for (int i = 0; i < threads; i++) {
+      process.start("cause" + i, () -> cause(kinds));
+    }
+  }
+
+  private void cause(List<Kind> kinds) {
+    while (true) {
+      run.sleepUpTo(LONGEST_INTERVAL);
+      if (run.quiet()) {
+        return;
+      }
+      List<VirtualScheduler.Process> candidates = victims.get();
+      if (candidates.isEmpty()) {
+        continue;
+      }
+      VirtualScheduler.Process victim = candidates.get(run.random().nextInt(candidates.size()));
+      Kind kind = kinds.get(run.random().nextInt(kinds.size()));
+      run.history().add(victim.name(), "fault", kind.name(), 0, "");
+      if (kind == Kind.KILL) {
+        kill.accept(victim);
+        continue;
+      }
+      kind.begin(victim, run.random());
+      long left = Math.max(1, run.quietFromNanos() - run.scheduler().nowNanos());
+      run.sleepUpTo(Duration.ofNanos(Math.min(left, LONGEST_FAULT.toNanos())));
+      kind.end(victim);
+    }
+  }
+}
--- /dev/null
+++ b/bench/src/main/java/org/clementinequay/bench/soak/Scenario.java
@@ -0,0 +1,54 @@
+package org.clementinequay.bench.soak;
+
+import java.time.Duration;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+
+/** Workloads on the real coordination code together with the checks of their histories. */
+public enum Scenario {
+  /** Operators race to change the configuration while hosts read it. */
+  CONFIGURATION(Duration.ofSeconds(160)) {
+    @Override
+    void execute(SoakRun run) throws Exception {
+      new ConfigurationScenario(run).execute();
+    }
+  };
+
+  private final Duration length;
+
+  Scenario(Duration length) {
+    this.length = length;
+  }
+
+  /** Starts processes, runs them to the end and checks the history. */
+  abstract void execute(SoakRun run) throws Exception;
+
+  /** Returns the name on the command line. */
+  public String label() {
+    return name().toLowerCase(Locale.ROOT);
+  }
+
+  /** Returns the scenario of a name on the command line. */
+  public static Optional<Scenario> labelled(String label) {
+    return Arrays.stream(values()).filter(scenario -> scenario.label().equals(label)).findFirst();
+  }
+
+  /** Runs once. */
+  public SoakRun.Result run(long seed, Optional<Mutant> mutant) {
+    try (SoakRun run = new SoakRun(seed, length, mutant)) {
+      try {
+        execute(run);
+      } catch (Exception e) {
+        run.violate("the scenario failed: " + e);
+      }
+      return run.result();
+    }
+  }
+
+  /** Returns the mutants of this scenario. */
+  public List<Mutant> mutants() {
+    return Arrays.stream(Mutant.values()).filter(mutant -> mutant.scenario() == this).toList();
+  }
+}
--- /dev/null
+++ b/bench/src/main/java/org/clementinequay/bench/soak/SoakRun.java
@@ -0,0 +1,117 @@
+package org.clementinequay.bench.soak;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.random.RandomGenerator;
+
+/** One run of a scenario: its scheduler, platform and history, all derived from one seed. */
+public final class SoakRun implements AutoCloseable {
+  /** Faults stop this long before the end of a run. */
+  public static final Duration QUIET = Duration.ofSeconds(40);
+
+  private final long seed;
+  private final Duration length;
+  private final Optional<Mutant> mutant;
+  private final RandomGenerator random;
+  private final VirtualScheduler scheduler;
+  private final FaultPlan plan;
+  private final FaultyPlatform platform;
+  private final History history;
+  private final List<String> violations = new ArrayList<>();
+
+  /**
+   * Prepares a run.
+   *
+   * @param length virtual time of the run, longer than {@link #QUIET}
+   * @param mutant the mechanism that is disabled, if any
+   */
+  public SoakRun(long seed, Duration length, Optional<Mutant> mutant) {
+    this.seed = seed;
+    this.length = length;
+    this.mutant = mutant;
+    random = VirtualScheduler.generator(seed);
+    scheduler = new VirtualScheduler(random.nextLong());
+    plan = FaultPlan.random(VirtualScheduler.generator(random.nextLong()), length.minus(QUIET));
+    platform = new FaultyPlatform(scheduler, plan, VirtualScheduler.generator(random.nextLong()));
+    history = new History(scheduler);
+  }
+
+  /** Returns the generator for the choices of the scenario. */
+  public RandomGenerator random() {
+    return random;
+  }
+
+  /** Returns the scheduler. */
+  public VirtualScheduler scheduler() {
+    return scheduler;
+  }
+
+  /** Returns the platform. */
+  public FaultyPlatform platform() {
+    return platform;
+  }
+
+  /** Returns the history. */
+  public History history() {
+    return history;
+  }
+
+  /** Returns whether a mechanism is disabled in this run. */
+  public boolean mutated(Mutant candidate) {
+    return mutant.isPresent() && mutant.get() == candidate;
+  }
+
+  /** Returns whether faults are over. */
+  public boolean quiet() {
+    return scheduler.nowNanos() >= plan.quietFromNanos();
+  }
+
+  /** Returns the virtual time from which there are no faults, in nanoseconds. */
+  public long quietFromNanos() {
+    return plan.quietFromNanos();
+  }
+
+  /** Sleeps for a random time up to the given one. */
+  public void sleepUpTo(Duration longest) {
+    scheduler.sleep(Duration.ofNanos(random.nextLong(longest.toNanos())));
+  }
+
+  /** Notes that an invariant was violated. */
+  public void violate(String message) {
+    violations.add(message);
+  }
+
+  /** Runs the threads to the end of the run. */
+  public void runToEnd() {
+    scheduler.runUntil(length);
+    violations.addAll(scheduler.failures());
+  }
+
+  /** Returns the result. */
+  public Result result() {
+    return new Result(seed, violations, history.events(), scheduler.steps());
+  }
+
+  @Override
+  public void close() {
+    scheduler.close();
+  }
+
+  /**
+   * Result of a run.
+   *
+   * @param seed seed of the run
+   * @param violations violated invariants; empty if the run passed
+   * @param events the history
+   * @param steps number of times that a thread was chosen to run
+   */
+  public record Result(long seed, List<String> violations, List<History.Event> events, long steps) {
+    /** Copies the lists. */
+    public Result {
+      violations = List.copyOf(violations);
+      events = List.copyOf(events);
+    }
+  }
+}
--- /dev/null
+++ b/bench/src/main/java/org/clementinequay/bench/soak/VirtualScheduler.java
@@ -0,0 +1,316 @@
+package org.clementinequay.bench.soak;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Semaphore;
+import java.util.concurrent.TimeUnit;
+import java.util.random.RandomGenerator;
+import java.util.random.RandomGeneratorFactory;
+import org.clementinequay.core.time.RuntimeClock;
+
+/**
+ * Runs blocking code on real threads, one at a time, in virtual time. The thread that holds the
+ * baton runs until it sleeps or reaches a switch point; a seeded generator then picks among the
+ * runnable threads, and time jumps to the next wake-up when there is none. The same seed gives the
+ * same interleaving, so that a violation can be replayed.
+ */
+public final class VirtualScheduler implements AutoCloseable {
+  /** Wall-clock time at the start of a run. */
+  public static final Instant START = Instant.parse("2026-12-04T11:59:00Z");
+
+  /** Virtual cost of one step in nanoseconds; keeps a busy loop from stopping time. */
+  private static final long STEP_NANOS = 1_000;
+
+  /** A step that takes longer in real time blocks on something that the scheduler cannot see. */
+  private static final long STUCK_SECONDS = 20;
+
+  private static final ExecutorService THREADS =
+      Executors.newCachedThreadPool(
+          body -> {
+            Thread thread = new Thread(body, "virtual");
+            thread.setDaemon(true);
+            return thread;
+          });
+
+  private final RandomGenerator random;
+  private final List<Task> tasks = new ArrayList<>();
+  private final List<String> failures = new ArrayList<>();
+  private final Semaphore returned = new Semaphore(0);
+  private final ThreadLocal<Task> running = new ThreadLocal<>();
+  private long nowNanos;
+  private long steps;
+  private boolean closing;
+
+  /** Creates a scheduler whose choices follow from the seed. */
+  public VirtualScheduler(long seed) {
+    this.random = generator(seed);
+  }
+
+  /** Returns a generator of random numbers with a fixed algorithm. */
+  public static RandomGenerator generator(long seed) {
+    return RandomGeneratorFactory.of("L64X128MixRandom").create(seed);
+  }
+
+  /** Code that a task runs. */
+  public interface Body {
+    /** Runs; an exception other than the end of the run counts as a failure of the task. */
+    void run() throws Exception;
+  }
+
+  /** Unwinds the threads of a run that is over; code under test must not catch it. */
+  private static final class RunOverError extends Error {
+    private static final long serialVersionUID = 1L;
+
+    RunOverError() {
+      super("the run is over", null, false, false);
+    }
+  }
+
+  private static final class Task {
+    final Process process;
+    final String name;
+    final Semaphore baton = new Semaphore(0);
+    long wakeNanos;
+    boolean done;
+    Thread thread;
+
+    Task(Process process, String name, long wakeNanos) {
+      this.process = process;
+      this.name = name;
+      this.wakeNanos = wakeNanos;
+    }
+  }
+
+  /** A simulated operating system process: it can be paused and killed, and has its own clock. */
+  public final class Process {
+    private final String name;
+    private boolean paused;
+    private boolean killed;
+    private boolean partitioned;
+    private Duration wallOffset = Duration.ZERO;
+
+    private Process(String name) {
+      this.name = name;
+    }
+
+    /** Returns the name. */
+    public String name() {
+      return name;
+    }
+
+    /** Starts a thread of this process. */
+    public void start(String duty, Body body) {
+      startAfter(Duration.ZERO, duty, body);
+    }
+
+    /** Starts a thread of this process after a delay. */
+    public void startAfter(Duration delay, String duty, Body body) {
+      Task task = new Task(this, name + "/" + duty, nowNanos + delay.toNanos());
+      tasks.add(task);
+      THREADS.execute(() -> runTask(task, body));
+    }
+
+    /** Freezes or resumes the process; its clock goes on. */
+    public void pause(boolean value) {
+      paused = value;
+    }
+
+    /** Ends the process; none of its threads runs again. */
+    public void kill() {
+      killed = true;
+    }
+
+    /** Returns whether the process was killed. */
+    public boolean killed() {
+      return killed;
+    }
+
+    /** Cuts the process off from other processes and the platform, or reconnects it. */
+    public void partition(boolean value) {
+      partitioned = value;
+    }
+
+    /** Returns whether the process is cut off. */
+    public boolean partitioned() {
+      return partitioned;
+    }
+
+    /** Makes the wall clock of the process differ from the true time. */
+    public void shiftWallClock(Duration offset) {
+      wallOffset = offset;
+    }
+
+    /** Returns the clock of the process. */
+    public RuntimeClock clock() {
+      return new ProcessClock(this);
+    }
+  }
+
+  private final class ProcessClock implements RuntimeClock {
+    private final Process process;
+
+    ProcessClock(Process process) {
+      this.process = process;
+    }
+
+    @Override
+    public Instant now() {
+      return START.plusNanos(nowNanos).plus(process.wallOffset);
+    }
+
+    @Override
+    public long nanoTime() {
+      return nowNanos;
+    }
+
+    @Override
+    public void sleep(Duration duration) {
+      VirtualScheduler.this.sleep(duration);
+    }
+  }
+
+  /** Creates a process. */
+  public Process process(String name) {
+    return new Process(name);
+  }
+
+  /** Returns the virtual time since the start of the run in nanoseconds. */
+  public long nowNanos() {
+    return nowNanos;
+  }
+
+  /** Returns how many times a thread was chosen to run. */
+  public long steps() {
+    return steps;
+  }
+
+  /** Returns the tasks that ended with an exception. */
+  public List<String> failures() {
+    return List.copyOf(failures);
+  }
+
+  /** Returns the process of the calling thread. */
+  public Process currentProcess() {
+    Task task = running.get();
+    if (task == null) {
+      throw new IllegalStateException("not a thread of the scheduler");
+    }
+    return task.process;
+  }
+
+  /** Lets other threads run. */
+  public void switchPoint() {
+    sleep(Duration.ZERO);
+  }
+
+  /** Blocks the calling thread in virtual time; threads of other origin return at once. */
+  public void sleep(Duration duration) {
+    Task task = running.get();
+    if (task == null) {
+      return;
+    }
+    if (closing) {
+      throw new RunOverError();
+    }
+    task.wakeNanos = nowNanos + Math.max(0, duration.toNanos());
+    returned.release();
+    awaitBaton(task);
+  }
+
+  /** Runs the threads until the virtual time is reached. */
+  public void runUntil(Duration end) {
+    long endNanos = end.toNanos();
+    while (true) {
+      List<Task> ready = new ArrayList<>();
+      long nextWake = Long.MAX_VALUE;
+      for (Task task : tasks) {
+        if (!task.done && !task.process.paused && !task.process.killed) {
+          nextWake = Math.min(nextWake, task.wakeNanos);
+          if (task.wakeNanos <= nowNanos) {
+            ready.add(task);
+          }
+        }
+      }
+      if (!ready.isEmpty()) {
+        step(ready.get(random.nextInt(ready.size())));
+      } else if (nextWake > endNanos) {
+        nowNanos = Math.max(nowNanos, endNanos);
+        return;
+      } else {
+        nowNanos = nextWake;
+      }
+      if (nowNanos >= endNanos) {
+        return;
+      }
+    }
+  }
+
+  /** Unwinds all threads. State and history must have been checked before. */
+  @Override
+  public void close() {
+    closing = true;
+    for (Task task : tasks) {
+      if (!task.done) {
+        task.baton.release();
+        awaitReturn(task);
+      }
+    }
+  }
+
+  private void step(Task task) {
+    nowNanos += STEP_NANOS;
+    steps++;
+    task.baton.release();
+    awaitReturn(task);
+    if (task.done) {
+      tasks.remove(task);
+    }
+  }
+
+  private void awaitReturn(Task task) {
+    try {
+      if (!returned.tryAcquire(STUCK_SECONDS, TimeUnit.SECONDS)) {
+        IllegalStateException stuck =
+            new IllegalStateException(task.name + " blocks without using its clock");
+        if (task.thread != null) {
+          stuck.setStackTrace(task.thread.getStackTrace());
+        }
+        throw stuck;
+      }
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      throw new IllegalStateException("interrupted while " + task.name + " ran", e);
+    }
+  }
+
+  private void awaitBaton(Task task) {
+    task.baton.acquireUninterruptibly();
+    if (closing) {
+      throw new RunOverError();
+    }
+  }
+
+  private void runTask(Task task, Body body) {
+    task.thread = Thread.currentThread();
+    running.set(task);
+    try {
+      awaitBaton(task);
+      body.run();
+    } catch (RunOverError e) {
+      // Expected when the run is closed.
+    } catch (Exception | Error e) {
+      if (!closing) {
+        StackTraceElement[] trace = e.getStackTrace();
+        failures.add(task.name + " failed: " + e + (trace.length > 0 ? " at " + trace[0] : ""));
+      }
+    } finally {
+      running.remove();
+      task.done = true;
+      returned.release();
+    }
+  }
+}
