--- /dev/null
+++ b/bench/src/test/java/org/clementinequay/bench/path/Cluster.java
@@ -0,0 +1,189 @@
+package org.clementinequay.bench.path;
+
+import com.google.common.hash.Hashing;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Set;
+import org.clementinequay.core.session.SessionKey;
+import org.clementinequay.server.entry.EntryHost;
+import org.clementinequay.server.entry.EntryHostOptions;
+import org.clementinequay.standins.EngineSettings;
+import org.clementinequay.standins.EngineStandIn;
+import org.clementinequay.standins.PlatformStandIn;
+import org.clementinequay.standins.RatingStandIn;
+import org.clementinequay.standins.ServiceStandIn;
+
+/** Stand-ins and entry hosts in one JVM on loopback, for tests of the whole path. */
+final class Cluster implements AutoCloseable {
+  static final String SMALL = "label-small@v1";
+  static final String LARGE = "label-large@v1";
+  static final String KEY = "key-growers";
+
+  final PlatformStandIn platform = new PlatformStandIn(0);
+  final RatingStandIn rating = new RatingStandIn(0);
+  final EngineStandIn small = engine(SMALL);
+  final EngineStandIn large = engine(LARGE);
+  final EngineStandIn large2 = engine(LARGE);
+  final ServiceStandIn service = new ServiceStandIn(0);
+  final List<EntryHost> hosts = new ArrayList<>();
+  private final HttpClient http = HttpClient.newHttpClient();
+  private long revision;
+
+  private static EngineStandIn engine(String version) {
+    return new EngineStandIn(0, new EngineSettings(Set.of(version), 32, 5, 1, true));
+  }
+
+  static Cluster start(int hostCount) throws Exception {
+    Cluster cluster = new Cluster();
+    cluster.platform.start();
+    cluster.rating.start();
+    cluster.small.start();
+    cluster.large.start();
+    cluster.large2.start();
+    cluster.service.start();
+    cluster.publish(cluster.document("LIVE", "LIVE"));
+    for (int i = 0; i < hostCount; i++) {
+      cluster.hosts.add(new EntryHost(cluster.options(i)));
+    }
+    for (EntryHost host : cluster.hosts) {
+      host.start();
+    }
+    cluster.awaitReady();
+    return cluster;
+  }
+
+  private void awaitReady() throws InterruptedException {
+    for (EntryHost host : hosts) {
+      while (!host.ready()) {
+        Thread.sleep(10);
+      }
+    }
+  }
+
+  private EntryHostOptions options(int index) {
+    String loopback = "127.0.0.1:0";
+    return new EntryHostOptions(
+        "entry-" + index,
+        index % 2 == 0 ? "pnw-a" : "pnw-b",
+        "pnw",
+        1,
+        loopback,
+        loopback,
+        loopback,
+        platform.address(),
+        platform.address(),
+        platform.address(),
+        rating.address(),
+        List.of(
+            new SessionKey(
+                "k1", "0123456789abcdef0123456789abcdef".getBytes(StandardCharsets.US_ASCII))),
+        Duration.ofSeconds(2),
+        Duration.ofSeconds(2),
+        Duration.ofSeconds(10));
+  }
+
+  /** Returns the sample document with the given states of the two versions. */
+  String document(String smallState, String largeState) {
+    return String.format(
+        Locale.ROOT,
+        """
+        {
+          // Two models, two accounts, one route that must not be repeated.
+          "domains": [{"name": "pnw-a", "region": "pnw"}, {"name": "pnw-b", "region": "pnw"}],
+          "classes": [{"name": "sheet", "priority": 0, "deadlineMillis": 20000, "qualityTarget": 0.9}],
+          "models": [
+            {"name": "label-small", "versions": [{"name": "v1", "state": "%s", "share": 0,
+              "promptMicrosPerToken": 1, "completionMicrosPerToken": 2}]},
+            {"name": "label-large", "versions": [{"name": "v1", "state": "%s", "share": 0,
+              "promptMicrosPerToken": 10, "completionMicrosPerToken": 20}]}],
+          "cascades": [{"name": "label-auto", "models": ["label-small", "label-large"], "acceptScore": 0.5}],
+          "routes": [
+            {"name": "order-stamp", "idempotent": false, "timeoutMillis": 5000, "costMicros": 500},
+            {"name": "lot-lookup", "idempotent": true, "timeoutMillis": 2000, "costMicros": 5}],
+          "upstreams": [
+            {"name": "small-1", "kind": "ENGINE", "address": "%s", "domain": "pnw-a",
+             "serves": ["label-small@v1"], "slots": 32, "checksFencing": true},
+            {"name": "large-1", "kind": "ENGINE", "address": "%s", "domain": "pnw-a",
+             "serves": ["label-large@v1"], "slots": 32, "checksFencing": true},
+            {"name": "large-2", "kind": "ENGINE", "address": "%s", "domain": "pnw-b",
+             "serves": ["label-large@v1"], "slots": 32, "checksFencing": true},
+            {"name": "stamps-1", "kind": "SERVICE", "address": "%s", "domain": "pnw-a",
+             "serves": ["order-stamp", "lot-lookup"], "slots": 8, "checksFencing": false}],
+          "accounts": [
+            {"name": "growers", "apiKeySha256": ["%s"], "models": ["label-small", "label-large"],
+             "cascades": ["label-auto"], "routes": ["order-stamp", "lot-lookup"],
+             "limits": {"requestsPerSecond": 1000, "burst": 1000, "concurrent": 1000}},
+            {"name": "buyers", "apiKeySha256": ["%s"], "models": ["label-small"],
+             "cascades": [], "routes": ["lot-lookup"],
+             "limits": {"requestsPerSecond": 1000, "burst": 1000, "concurrent": 1000}}],
+          "weights": {"cost": 1, "latency": 1, "exposure": 1}
+        }
+        """,
+        smallState,
+        largeState,
+        small.address(),
+        large.address(),
+        large2.address(),
+        service.address(),
+        digest(KEY),
+        digest("key-buyers"));
+  }
+
+  private static String digest(String key) {
+    return Hashing.sha256().hashString(key, StandardCharsets.UTF_8).toString();
+  }
+
+  /** Publishes a document straight into the platform. */
+  void publish(String text) throws Exception {
+    org.eclipse.jetty.client.HttpClient client = new org.eclipse.jetty.client.HttpClient();
+    client.start();
+    new org.clementinequay.core.spread.ConfigurationPublisher(
+            new org.clementinequay.server.platform.HttpTableService(
+                client, platform.address(), Duration.ofSeconds(2)),
+            new org.clementinequay.server.platform.HttpObjectStore(
+                client, platform.address(), Duration.ofSeconds(2)),
+            new org.clementinequay.core.time.SystemClock())
+        .publish(revision, "submission-" + revision, "morning", text);
+    client.stop();
+    revision++;
+  }
+
+  HttpResponse<String> chat(int host, String body) throws Exception {
+    return post(host, "/v1/chat/completions", body, KEY);
+  }
+
+  HttpResponse<String> post(int host, String path, String body, String key, String... headers)
+      throws Exception {
+    HttpRequest.Builder request =
+        HttpRequest.newBuilder(
+                URI.create("http://127.0.0.1:" + hosts.get(host).callerPort() + path))
+            .header("Authorization", "Bearer " + key)
+            .header("Content-Type", "application/json")
+            .timeout(Duration.ofSeconds(30))
+            .POST(HttpRequest.BodyPublishers.ofString(body));
+    if (headers.length > 0) {
+      request.headers(headers);
+    }
+    return http.send(request.build(), HttpResponse.BodyHandlers.ofString());
+  }
+
+  @Override
+  public void close() throws Exception {
+    for (EntryHost host : hosts) {
+      host.close();
+    }
+    platform.stop();
+    rating.stop();
+    small.stop();
+    large.stop();
+    large2.stop();
+    service.stop();
+  }
+}
--- /dev/null
+++ b/bench/src/test/java/org/clementinequay/bench/path/WholePathTest.java
@@ -0,0 +1,207 @@
+package org.clementinequay.bench.path;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.net.http.HttpResponse;
+import java.util.Locale;
+import org.clementinequay.standins.EngineFault;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** A request goes from a caller through an entry host to an upstream and back, over real TCP. */
+public final class WholePathTest {
+  private static String body(String model, int tokens, boolean stream) {
+    return String.format(
+        Locale.ROOT,
+        "{\"model\":\"%s\",\"messages\":[{\"role\":\"user\",\"content\":\"tag for plums\"}],"
+            + "\"max_tokens\":%d,\"stream\":%b,\"request_class\":\"sheet\"}",
+        model,
+        tokens,
+        stream);
+  }
+
+  private static int count(String text, String part) {
+    return text.split(java.util.regex.Pattern.quote(part), -1).length - 1;
+  }
+
+  /** Answers that are whole. */
+  public static final class Answers {
+    private Cluster cluster;
+
+    @BeforeMethod
+    public void start() throws Exception {
+      cluster = Cluster.start(1);
+    }
+
+    @AfterMethod(alwaysRun = true)
+    public void stop() throws Exception {
+      cluster.close();
+    }
+
+    /** Guards against a stream that loses, doubles or reorders tokens on its way. */
+    @Test
+    public void streamsEveryTokenOnce() throws Exception {
+      HttpResponse<String> response = cluster.chat(0, body("label-large", 200, true));
+      assertEquals(response.statusCode(), 200, response.body());
+      for (int i = 0; i < 200; i++) {
+        assertEquals(count(response.body(), "\"w" + i + " \""), 1, "token " + i);
+      }
+      assertTrue(response.body().endsWith("data: [DONE]\n\n"), response.body());
+      assertTrue(response.body().contains("\"outcome\":\"ran\""), response.body());
+      assertEquals(response.headers().firstValue("X-Model-Version").orElse(""), Cluster.LARGE);
+    }
+
+    /** Guards against a draft that is released before it was accepted, or a lost last step. */
+    @Test
+    public void cascadeFallsThroughToTheDearModel() throws Exception {
+      cluster.rating.quality(Cluster.SMALL, 0);
+      HttpResponse<String> response = cluster.chat(0, body("label-auto", 8, true));
+      assertEquals(response.headers().firstValue("X-Model-Version").orElse(""), Cluster.LARGE);
+      assertEquals(cluster.small.ran(), 1);
+      assertTrue(response.body().contains("\"attempts\":2"), response.body());
+    }
+
+    /** Guards against a cascade that pays for the dear model although the draft was good. */
+    @Test
+    public void cascadeStopsAtAGoodDraft() throws Exception {
+      cluster.rating.quality(Cluster.SMALL, 1);
+      HttpResponse<String> response = cluster.chat(0, body("label-auto", 8, false));
+      assertEquals(response.headers().firstValue("X-Model-Version").orElse(""), Cluster.SMALL);
+      assertEquals(cluster.large.ran() + cluster.large2.ran(), 0);
+      assertTrue(response.body().contains("w7 "), response.body());
+    }
+
+    /** Guards against work for an account that may not use the model. */
+    @Test
+    public void refusesAModelThatIsNotAllowed() throws Exception {
+      HttpResponse<String> response =
+          cluster.post(0, "/v1/chat/completions", body("label-large", 8, false), "key-buyers");
+      assertEquals(response.statusCode(), 403, response.body());
+      assertTrue(response.body().contains("\"outcome\":\"not-run\""), response.body());
+      assertEquals(cluster.large.ran() + cluster.large2.ran(), 0);
+    }
+
+    /** Guards against an answer of a plain service that is lost or changed on its way. */
+    @Test
+    public void callsAPlainService() throws Exception {
+      HttpResponse<String> response =
+          cluster.post(0, "/v1/routes/lot-lookup", "{\"lot\":7}", Cluster.KEY);
+      assertEquals(response.statusCode(), 200, response.body());
+      assertEquals(response.headers().firstValue("X-Outcome").orElse(""), "ran");
+      assertTrue(response.body().contains("lot-lookup"), response.body());
+    }
+  }
+
+  /** Upstreams that fail. */
+  public static final class UpstreamFaults {
+    private Cluster cluster;
+
+    @BeforeMethod
+    public void start() throws Exception {
+      cluster = Cluster.start(1);
+    }
+
+    @AfterMethod(alwaysRun = true)
+    public void stop() throws Exception {
+      cluster.close();
+    }
+
+    private void inject(EngineFault fault, int after) {
+      cluster.large.fault(fault, after, 1);
+      cluster.large2.fault(fault, after, 1);
+    }
+
+    /** Guards against a stream that is passed off as whole after it was cut, stalled or mixed. */
+    @Test
+    public void resumesABrokenStream() throws Exception {
+      for (EngineFault fault :
+          new EngineFault[] {
+            EngineFault.CUT, EngineFault.STALL, EngineFault.CROSS, EngineFault.DUPLICATE
+          }) {
+        inject(fault, 10);
+        HttpResponse<String> response = cluster.chat(0, body("label-large", 40, true));
+        for (int i = 0; i < 40; i++) {
+          assertEquals(count(response.body(), "\"w" + i + " \""), 1, fault + " token " + i);
+        }
+        assertTrue(response.body().endsWith("data: [DONE]\n\n"), fault.toString());
+        inject(EngineFault.NONE, 0);
+      }
+    }
+
+    /**
+     * Guards against a failed attempt that fails the request although another upstream is there.
+     */
+    @Test
+    public void retriesOnAnotherUpstreamBeforeAnythingWasReleased() throws Exception {
+      cluster.large.fault(EngineFault.ERROR, 0, 2);
+      for (int i = 0; i < 4; i++) {
+        HttpResponse<String> response = cluster.chat(0, body("label-large", 8, false));
+        assertEquals(response.statusCode(), 200, response.body());
+      }
+    }
+
+    /** Guards against a second run of a call that must not be repeated. */
+    @Test
+    public void doesNotRepeatANonIdempotentCall() throws Exception {
+      cluster.service.loseAnswers(1);
+      HttpResponse<String> response =
+          cluster.post(0, "/v1/routes/order-stamp", "{\"crate\":1}", Cluster.KEY);
+      assertEquals(response.statusCode(), 502, response.body());
+      assertTrue(response.body().contains("\"outcome\":\"unknown\""), response.body());
+      assertEquals(cluster.service.runs().get("{\"crate\":1}"), Integer.valueOf(1));
+    }
+  }
+
+  /** Sessions and withdrawals. */
+  public static final class Sessions {
+    private Cluster cluster;
+
+    @BeforeMethod
+    public void start() throws Exception {
+      cluster = Cluster.start(2);
+    }
+
+    @AfterMethod(alwaysRun = true)
+    public void stop() throws Exception {
+      cluster.close();
+    }
+
+    private String inSession(String token) {
+      return body("label-auto", 4, false)
+          .replace("\"stream\"", "\"session\":\"" + token + "\",\"stream\"");
+    }
+
+    /** Guards against a session that moves to another version, host or through a second cascade. */
+    @Test
+    public void keepsItsVersionOnEveryHost() throws Exception {
+      cluster.rating.quality(Cluster.SMALL, 0);
+      HttpResponse<String> first = cluster.chat(0, body("label-auto", 4, false));
+      String token = first.headers().firstValue("X-Session").orElseThrow();
+      cluster.rating.quality(Cluster.SMALL, 1);
+      HttpResponse<String> second = cluster.chat(1, inSession(token));
+      assertEquals(second.statusCode(), 200, second.body());
+      assertEquals(second.headers().firstValue("X-Model-Version").orElse(""), Cluster.LARGE);
+      assertEquals(second.headers().firstValue("X-Attempts").orElse(""), "1");
+    }
+
+    /** Guards against new work on a withdrawn version and against a session that is moved. */
+    @Test
+    public void refusesASessionOfAWithdrawnVersion() throws Exception {
+      cluster.rating.quality(Cluster.SMALL, 0);
+      HttpResponse<String> first = cluster.chat(0, body("label-auto", 4, false));
+      String token = first.headers().firstValue("X-Session").orElseThrow();
+      cluster.publish(cluster.document("LIVE", "WITHDRAWN"));
+      HttpResponse<String> refused = cluster.chat(1, inSession(token));
+      for (int i = 0; i < 500 && refused.statusCode() == 200; i++) {
+        Thread.sleep(20);
+        refused = cluster.chat(1, inSession(token));
+      }
+      assertEquals(refused.statusCode(), 410, refused.body());
+      assertTrue(refused.body().contains("session_version_withdrawn"), refused.body());
+      assertFalse(refused.headers().firstValue("X-Outcome").isEmpty());
+    }
+  }
+}
