Parse configuration documents with located findings

Jackson's own binding stops at the first fault, which makes an operator submit once per mistake. Findings that only follow from an earlier one at the same place are left out. A state change edits the text in place and keeps comments.

--- /dev/null
+++ b/server/src/main/java/org/clementinequay/server/document/DocumentEditor.java
@@ -0,0 +1,76 @@
+package org.clementinequay.server.document;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+import org.clementinequay.core.ModelVersion;
+import org.clementinequay.core.config.VersionState;
+
+/** Changes values in the text of a document and leaves its layout and comments as they are. */
+public final class DocumentEditor {
+  private DocumentEditor() {}
+
+  /**
+   * Returns the text with another state and share of a version.
+   *
+   * @param share share of new sessions from 0 to 1; 0 unless the state is rolling-out
+   * @return empty if the text is not a document with that version
+   */
+  public static Optional<String> withState(
+      String text, ModelVersion version, VersionState state, double share) {
+    return LocatedReader.read(text, new ArrayList<>())
+        .flatMap(root -> versionObject(root, version))
+        .map(object -> replaceState(text, object, state, share));
+  }
+
+  private static Optional<LocatedValue.ObjectValue> versionObject(
+      LocatedValue root, ModelVersion version) {
+    return itemNamed(root, "models", version.model())
+        .flatMap(model -> itemNamed(model, "versions", version.version()))
+        .filter(object -> object.members().containsKey("state"));
+  }
+
+  private static Optional<LocatedValue.ObjectValue> itemNamed(
+      LocatedValue owner, String list, String name) {
+    List<LocatedValue> items =
+        owner.find("/" + list).orElse(owner) instanceof LocatedValue.ArrayValue array
+            ? array.items()
+            : List.of();
+    for (LocatedValue item : items) {
+      if (item instanceof LocatedValue.ObjectValue object
+          && object.find("/name").orElse(object) instanceof LocatedValue.TextValue text
+          && text.text().equals(name)) {
+        return Optional.of(object);
+      }
+    }
+    return Optional.empty();
+  }
+
+  private static String replaceState(
+      String text, LocatedValue.ObjectValue object, VersionState state, double share) {
+    LocatedValue.Place statePlace = object.members().get("state").value().place();
+    String newState = "\"" + state.label() + "\"";
+    String newShare = number(share);
+    LocatedValue.Member shareMember = object.members().get("share");
+    if (shareMember == null) {
+      String added = share == 0 ? "" : ", \"share\": " + newShare;
+      return splice(text, statePlace, newState + added);
+    }
+    LocatedValue.Place sharePlace = shareMember.value().place();
+    // The later place first, so that the offsets of the earlier one stay right.
+    return sharePlace.start() > statePlace.start()
+        ? splice(splice(text, sharePlace, newShare), statePlace, newState)
+        : splice(splice(text, statePlace, newState), sharePlace, newShare);
+  }
+
+  private static String number(double value) {
+    return value == Math.rint(value)
+        ? String.format(Locale.ROOT, "%.0f", value)
+        : Double.toString(value);
+  }
+
+  private static String splice(String text, LocatedValue.Place place, String replacement) {
+    return text.substring(0, place.start()) + replacement + text.substring(place.end());
+  }
+}
--- /dev/null
+++ b/server/src/main/java/org/clementinequay/server/document/DocumentParser.java
@@ -0,0 +1,56 @@
+package org.clementinequay.server.document;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.clementinequay.core.config.ClientAccount;
+import org.clementinequay.core.config.ConfigurationValidator;
+import org.clementinequay.core.config.Finding;
+import org.clementinequay.core.config.ObjectiveWeights;
+import org.clementinequay.core.config.RouterConfiguration;
+import org.clementinequay.core.config.Upstream;
+import org.clementinequay.core.config.VersionSpec;
+import org.clementinequay.core.config.VersionState;
+
+/** Parses and validates configuration documents. */
+public final class DocumentParser {
+  private static final BindingRules RULES =
+      BindingRules.builder()
+          .optional(RouterConfiguration.class, "domains", List.of())
+          .optional(RouterConfiguration.class, "classes", List.of())
+          .optional(RouterConfiguration.class, "models", List.of())
+          .optional(RouterConfiguration.class, "cascades", List.of())
+          .optional(RouterConfiguration.class, "routes", List.of())
+          .optional(RouterConfiguration.class, "upstreams", List.of())
+          .optional(RouterConfiguration.class, "accounts", List.of())
+          .optional(RouterConfiguration.class, "weights", ObjectiveWeights.EQUAL)
+          .optional(ClientAccount.class, "models", List.of())
+          .optional(ClientAccount.class, "cascades", List.of())
+          .optional(ClientAccount.class, "routes", List.of())
+          .optional(VersionSpec.class, "share", 0.0)
+          .optional(Upstream.class, "checksFencing", false)
+          // A faulty state counts as live, so that "no live version" is not reported as well.
+          .placeholder(VersionState.class, VersionState.LIVE)
+          .build();
+
+  private DocumentParser() {}
+
+  /** Parses and validates a text and reports everything that is wrong with it. */
+  public static ParsedDocument parse(String text) {
+    List<Finding> findings = new ArrayList<>();
+    Optional<LocatedValue> root = LocatedReader.read(text, findings);
+    if (root.isEmpty()) {
+      return new ParsedDocument(Optional.empty(), findings);
+    }
+    RouterConfiguration configuration =
+        new RecordBinder(RULES, findings).bind(root.get(), RouterConfiguration.class);
+    List<Finding> faults = ConfigurationValidator.validate(configuration);
+    for (Finding fault : RecordBinder.withoutConsequences(faults, List.copyOf(findings))) {
+      LocatedValue.Place place = root.get().findNearest(fault.pointer()).place();
+      findings.add(fault.at(place.line(), place.column()));
+    }
+    findings.sort(Finding.BY_LOCATION);
+    return new ParsedDocument(
+        Finding.hasErrors(findings) ? Optional.empty() : Optional.of(configuration), findings);
+  }
+}
--- /dev/null
+++ b/server/src/main/java/org/clementinequay/server/document/LocatedReader.java
@@ -0,0 +1,130 @@
+package org.clementinequay.server.document;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonLocation;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.JsonToken;
+import com.fasterxml.jackson.core.json.JsonReadFeature;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.clementinequay.core.config.Finding;
+import org.clementinequay.core.config.Severity;
+
+/** Reads JSON with comments into values that know their place. */
+public final class LocatedReader {
+  private static final JsonFactory FACTORY =
+      JsonFactory.builder().enable(JsonReadFeature.ALLOW_JAVA_COMMENTS).build();
+
+  private final JsonParser parser;
+  private final List<Finding> findings;
+
+  private LocatedReader(JsonParser parser, List<Finding> findings) {
+    this.parser = parser;
+    this.findings = findings;
+  }
+
+  /**
+   * Reads a text.
+   *
+   * @param findings receives duplicate keys and at most one syntax error
+   * @return empty after a syntax error, which makes the rest of the text meaningless
+   */
+  public static Optional<LocatedValue> read(String text, List<Finding> findings) {
+    try (JsonParser parser = FACTORY.createParser(text)) {
+      if (parser.nextToken() == null) {
+        findings.add(Finding.error("", "the document is empty").at(1, 1));
+        return Optional.empty();
+      }
+      LocatedValue value = new LocatedReader(parser, findings).value("");
+      if (parser.nextToken() != null) {
+        JsonLocation location = parser.currentTokenLocation();
+        findings.add(
+            Finding.error("", "text after the end of the document")
+                .at(location.getLineNr(), location.getColumnNr()));
+        return Optional.empty();
+      }
+      return Optional.of(value);
+    } catch (JsonProcessingException e) {
+      JsonLocation location = e.getLocation();
+      findings.add(
+          new Finding(
+              Severity.ERROR,
+              "",
+              location == null ? 0 : location.getLineNr(),
+              location == null ? 0 : location.getColumnNr(),
+              "not valid JSON: " + e.getOriginalMessage()));
+      return Optional.empty();
+    } catch (IOException e) {
+      throw new UncheckedIOException("reading from memory failed", e);
+    }
+  }
+
+  private LocatedValue value(String pointer) throws IOException {
+    JsonToken token = parser.currentToken();
+    JsonLocation start = parser.currentTokenLocation();
+    return switch (token) {
+      case START_OBJECT -> {
+        Map<String, LocatedValue.Member> members = members(pointer);
+        yield new LocatedValue.ObjectValue(place(pointer, start), members);
+      }
+      case START_ARRAY -> {
+        List<LocatedValue> items = items(pointer);
+        yield new LocatedValue.ArrayValue(place(pointer, start), items);
+      }
+      case VALUE_STRING -> {
+        String text = parser.getText();
+        yield new LocatedValue.TextValue(place(pointer, start), text);
+      }
+      case VALUE_NUMBER_INT, VALUE_NUMBER_FLOAT -> {
+        String literal = parser.getText();
+        yield new LocatedValue.NumberValue(
+            place(pointer, start), literal, token == JsonToken.VALUE_NUMBER_INT);
+      }
+      default -> {
+        String word = parser.getText();
+        yield new LocatedValue.WordValue(place(pointer, start), word);
+      }
+    };
+  }
+
+  private Map<String, LocatedValue.Member> members(String pointer) throws IOException {
+    Map<String, LocatedValue.Member> members = new LinkedHashMap<>();
+    while (parser.nextToken() == JsonToken.FIELD_NAME) {
+      String key = parser.currentName();
+      String memberPointer = Pointers.child(pointer, key);
+      LocatedValue.Place keyPlace = place(memberPointer, parser.currentTokenLocation());
+      parser.nextToken();
+      LocatedValue.Member member = new LocatedValue.Member(keyPlace, value(memberPointer));
+      if (members.putIfAbsent(key, member) != null) {
+        findings.add(
+            Finding.error(memberPointer, "key \"" + key + "\" occurs more than once")
+                .at(keyPlace.line(), keyPlace.column()));
+      }
+    }
+    return members;
+  }
+
+  private List<LocatedValue> items(String pointer) throws IOException {
+    List<LocatedValue> items = new ArrayList<>();
+    while (parser.nextToken() != JsonToken.END_ARRAY) {
+      items.add(value(pointer + "/" + items.size()));
+    }
+    return items;
+  }
+
+  /** Returns the place of the value that ends at the parser's position. */
+  private LocatedValue.Place place(String pointer, JsonLocation start) {
+    return new LocatedValue.Place(
+        pointer,
+        start.getLineNr(),
+        start.getColumnNr(),
+        (int) start.getCharOffset(),
+        (int) parser.currentLocation().getCharOffset());
+  }
+}
