Test links over loopback TCP and the membership rules

Covers silent connections through a relay that swallows bytes (both ways and one way), closed peers, simultaneous dials, stale and own processes, garbage, oversized frames, old protocol, unknown types, a full queue, TLS and a host list that fails.

--- /dev/null
+++ b/core/src/test/java/org/clementinequay/core/membership/MembershipTest.java
@@ -0,0 +1,157 @@
+package org.clementinequay.core.membership;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Function;
+import org.testng.annotations.Test;
+
+/** Tests of the membership rules. */
+public class MembershipTest {
+  private static final int HOSTS = 330;
+  private static final int DOMAINS = 7;
+
+  private static List<Member> deployment() {
+    List<Member> members = new ArrayList<>();
+    for (int i = 0; i < HOSTS; i++) {
+      members.add(new Member(String.format("entry-%03d", i), "domain-" + i % DOMAINS));
+    }
+    return members;
+  }
+
+  /** Judgement of one peer. */
+  public static class FailureDetectorTest {
+    private static final long SECOND = 1_000_000_000L;
+
+    /** Guards against a peer that is kept after the bound, or dropped before it. */
+    @Test
+    public void failsAfterTheBoundOnly() {
+      FailureDetector detector = new FailureDetector(Duration.ofSeconds(4), 10 * SECOND);
+      assertEquals(detector.state(14 * SECOND), PeerState.ALIVE);
+      assertEquals(detector.state(14 * SECOND + 1), PeerState.FAILED);
+      detector.progress(13 * SECOND);
+      detector.progress(11 * SECOND);
+      assertEquals(detector.state(17 * SECOND), PeerState.ALIVE);
+    }
+
+    /** Guards against new duties for a peer that is shutting down. */
+    @Test
+    public void leavingIsFinal() {
+      FailureDetector detector = new FailureDetector(Duration.ofSeconds(4), 0);
+      detector.reportedLeaving(true);
+      detector.reportedLeaving(false);
+      assertEquals(detector.state(1), PeerState.LEAVING);
+      assertTrue(detector.state(1).reachable());
+      assertFalse(detector.state(1).takesDuties());
+    }
+
+    /** Guards against a monotonic clock whose readings pass the largest long. */
+    @Test
+    public void toleratesClockOverflow() {
+      FailureDetector detector = new FailureDetector(Duration.ofSeconds(4), Long.MAX_VALUE - 5);
+      detector.progress(Long.MIN_VALUE + 5);
+      assertEquals(detector.state(Long.MIN_VALUE + SECOND), PeerState.ALIVE);
+    }
+  }
+
+  /** Assignment of keys. */
+  public static class RendezvousHashTest {
+    /** Guards against hosts of different releases or machines that compute different scores. */
+    @Test
+    public void scoresAreFixed() {
+      assertEquals(RendezvousHash.score("duty", "entry-1", 1), 3.7806973317087382, 1e-12);
+    }
+
+    /** Guards against shares that do not follow the weights. */
+    @Test
+    public void sharesFollowWeights() {
+      int heavy = 0;
+      for (int i = 0; i < 4000; i++) {
+        heavy +=
+            RendezvousHash.preferred(
+                        "duty-" + i, List.of("a", "b"), Function.identity(), n -> weight(n))
+                    .get()
+                    .equals("b")
+                ? 1
+                : 0;
+      }
+      assertEquals(heavy / 4000.0, 0.75, 0.03);
+    }
+
+    private static double weight(String name) {
+      return name.equals("b") ? 3 : 1;
+    }
+
+    /** Guards against duties that move although their holder stayed. */
+    @Test
+    public void lossMovesOnlyTheKeysOfTheLost() {
+      List<String> all = List.of("a", "b", "c", "d");
+      List<String> rest = List.of("a", "b", "d");
+      for (int i = 0; i < 500; i++) {
+        String before = first("duty-" + i, all);
+        if (!before.equals("c")) {
+          assertEquals(first("duty-" + i, rest), before);
+        }
+      }
+    }
+
+    private static String first(String key, List<String> names) {
+      return RendezvousHash.preferred(key, names, Function.identity(), name -> 1.0).get();
+    }
+  }
+
+  /** Choice of links. */
+  public static class LinkTopologyTest {
+    /** Guards against a link count at the expected size that exceeds the budget for control. */
+    @Test
+    public void linkCountAtExpectedSize() {
+      Map<String, Integer> counts = new LinkTopology(deployment()).linkCounts();
+      assertEquals(counts.size(), HOSTS);
+      int greatest = counts.values().stream().mapToInt(Integer::intValue).max().getAsInt();
+      double mean = counts.values().stream().mapToInt(Integer::intValue).average().getAsDouble();
+      assertTrue(greatest <= 80, "greatest " + greatest);
+      assertTrue(mean <= 70, "mean " + mean);
+    }
+
+    /** Guards against a failure domain that a host has no link to. */
+    @Test
+    public void everyDomainIsReachable() {
+      List<Member> members = deployment();
+      LinkTopology topology = new LinkTopology(members);
+      for (Member self : members) {
+        Set<Member> targets = topology.targets(self);
+        assertFalse(targets.contains(self));
+        for (int d = 0; d < DOMAINS; d++) {
+          String domain = "domain-" + d;
+          long links = targets.stream().filter(t -> t.domain().equals(domain)).count();
+          long size = members.stream().filter(m -> m.domain().equals(domain)).count();
+          assertEquals(links, domain.equals(self.domain()) ? size - 1 : 2);
+        }
+      }
+    }
+
+    /** Guards against a restart of one host that reshuffles the links of the others. */
+    @Test
+    public void removalChangesOnlyLinksToTheRemoved() {
+      List<Member> members = deployment();
+      Member removed = members.remove(100);
+      LinkTopology after = new LinkTopology(members);
+      members.add(removed);
+      LinkTopology before = new LinkTopology(members);
+      for (Member self : members) {
+        if (!self.equals(removed)) {
+          Set<Member> lost = new HashSet<>(before.targets(self));
+          lost.removeAll(after.targets(self));
+          assertTrue(lost.isEmpty() || lost.equals(Set.of(removed)));
+        }
+      }
+    }
+  }
+}
--- /dev/null
+++ b/server/src/test/java/org/clementinequay/server/peer/RawPeer.java
@@ -0,0 +1,60 @@
+package org.clementinequay.server.peer;
+
+import java.io.DataInputStream;
+import java.io.IOException;
+import java.net.Socket;
+import java.util.Optional;
+
+/** Speaks the protocol by hand, so that tests can break it at any point. */
+final class RawPeer implements AutoCloseable {
+  static final String INCARNATION = "f".repeat(32);
+
+  final Socket socket;
+  final DataInputStream in;
+
+  RawPeer(TestHost host) throws IOException {
+    socket = new Socket(host.network.address().getAddress(), host.network.address().getPort());
+    in = new DataInputStream(socket.getInputStream());
+  }
+
+  static PeerMessage.Hello hello(int protocol) {
+    return new PeerMessage.Hello(protocol, INCARNATION, "raw", "domain-1", "pnw", 1);
+  }
+
+  void send(PeerMessage message) throws IOException {
+    socket.getOutputStream().write(FrameCodec.encode(message));
+  }
+
+  void sendBytes(byte[] bytes) throws IOException {
+    socket.getOutputStream().write(bytes);
+  }
+
+  /** Exchanges hellos and answers the first heartbeat, which brings the link up. */
+  void join() throws IOException {
+    send(hello(TcpPeerNetwork.PROTOCOL));
+    while (true) {
+      Optional<PeerMessage> message =
+          FrameCodec.decode(FrameCodec.read(in, FrameCodec.MAX_FRAME_BYTES));
+      if (message.orElse(null) instanceof PeerMessage.Heartbeat heartbeat) {
+        send(new PeerMessage.HeartbeatAck(heartbeat.sequence(), 0));
+        return;
+      }
+    }
+  }
+
+  /** Returns once the other end has closed the connection. */
+  void untilClosed() {
+    try {
+      while (in.read() >= 0) {
+        // Skips what was sent before the close.
+      }
+    } catch (IOException e) {
+      // A reset is a close too.
+    }
+  }
+
+  @Override
+  public void close() throws IOException {
+    socket.close();
+  }
+}
--- /dev/null
+++ b/server/src/test/java/org/clementinequay/server/peer/TcpPeerNetworkTest.java
@@ -0,0 +1,281 @@
+package org.clementinequay.server.peer;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.io.InputStream;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.security.KeyStore;
+import java.time.Duration;
+import java.util.List;
+import java.util.SplittableRandom;
+import javax.net.ssl.KeyManagerFactory;
+import javax.net.ssl.SSLContext;
+import javax.net.ssl.TrustManagerFactory;
+import org.clementinequay.server.peer.PeerStatistics.Counter;
+import org.testng.annotations.Test;
+
+/** Tests of the links over loopback TCP. */
+public class TcpPeerNetworkTest {
+
+  /** Links that work. */
+  public static class Links {
+    /** Guards against a host whose identity, revision or shutdown does not reach its peers. */
+    @Test
+    public void carriesIdentityAndHeartbeatContent() throws Exception {
+      try (TestHost a = new TestHost("a", 1);
+          TestHost b = new TestHost("b", 2)) {
+        a.sees(b.entry());
+        Await.until("linked", () -> a.isLinkedTo(b) && b.isLinkedTo(a));
+        b.content = new HeartbeatContent(7, true, 3, 0.5);
+        b.network.announceNow();
+        Await.until("content", () -> a.network.peers().stream().allMatch(p -> p.leaving()));
+        PeerNetwork.Peer peer = a.network.peers().get(0);
+        assertEquals(peer.host(), "b");
+        assertEquals(peer.revision(), 7);
+        assertTrue(peer.roundTripNanos() > 0);
+        a.untilDelivered(b, 1);
+        b.untilDelivered(a, 2);
+      }
+    }
+
+    /** Guards against two links, or none, after both ends dialled at once. */
+    @Test
+    public void settlesSimultaneousDialsOnOneLink() throws Exception {
+      for (int round = 0; round < 10; round++) {
+        try (TestHost a = new TestHost("a", 10 + round);
+            TestHost b = new TestHost("b", 50 - round)) {
+          a.sees(a.entry(), b.entry());
+          b.sees(a.entry(), b.entry());
+          Await.until("linked", () -> a.isLinkedTo(b) && b.isLinkedTo(a));
+          a.untilDelivered(b, 1);
+          b.untilDelivered(a, 2);
+          assertEquals(a.network.peers().size(), 1);
+          assertEquals(b.network.peers().size(), 1);
+        }
+      }
+    }
+
+    /** Guards against links lost because the platform's list cannot be read. */
+    @Test
+    public void keepsTheLastHostList() throws Exception {
+      try (TestHost a = new TestHost("a", 1);
+          TestHost b = new TestHost("b", 2);
+          Relay relay = new Relay(b.network.address())) {
+        a.sees(TestHost.entry("b", relay.address()));
+        Await.until("linked", () -> a.isLinkedTo(b));
+        a.hostListFails = true;
+        Await.until("failed", () -> a.count(Counter.HOST_LIST_FAILURES) > 1);
+        relay.swallow(true, true);
+        Await.until("relinked", () -> a.count(Counter.LINKS_OPENED) > 1 && a.isLinkedTo(b));
+      }
+    }
+
+    /** Guards against TLS that is configured but not used, and clients without a certificate. */
+    @Test
+    public void usesTls() throws Exception {
+      SSLContext tls = testContext();
+      try (TestHost a = new TestHost("a", 1, builder -> builder.tls(tls));
+          TestHost b = new TestHost("b", 2, builder -> builder.tls(tls));
+          TestHost plain = new TestHost("plain", 3)) {
+        plain.sees(b.entry());
+        a.sees(b.entry());
+        Await.until("linked", () -> a.isLinkedTo(b) && b.isLinkedTo(a));
+        a.untilDelivered(b, 1);
+        Await.until("refused", () -> b.count(Counter.HANDSHAKES_FAILED) > 0);
+        assertFalse(b.isLinkedTo(plain));
+      }
+    }
+
+    private static SSLContext testContext() throws Exception {
+      char[] password = "testing".toCharArray();
+      KeyStore store = KeyStore.getInstance("PKCS12");
+      try (InputStream in = TcpPeerNetworkTest.class.getResourceAsStream("peer-test.p12")) {
+        store.load(in, password);
+      }
+      KeyManagerFactory keys =
+          KeyManagerFactory.getInstance(KeyManagerFactory.getDefaultAlgorithm());
+      keys.init(store, password);
+      KeyStore trusted = KeyStore.getInstance("PKCS12");
+      trusted.load(null, null);
+      trusted.setCertificateEntry("peer", store.getCertificate("peer"));
+      TrustManagerFactory trust =
+          TrustManagerFactory.getInstance(TrustManagerFactory.getDefaultAlgorithm());
+      trust.init(trusted);
+      SSLContext context = SSLContext.getInstance("TLS");
+      context.init(keys.getKeyManagers(), trust.getTrustManagers(), null);
+      return context;
+    }
+  }
+
+  /** Links and hosts that fail. */
+  public static class Failures {
+    /** Guards against a host that keeps a connection which went silent for good. */
+    @Test
+    public void replacesSilentLink() throws Exception {
+      swallow(true, true);
+    }
+
+    /** Guards against a link that is trusted because one of its directions still works. */
+    @Test
+    public void replacesLinkThatIsSilentInOneDirection() throws Exception {
+      swallow(true, false);
+      swallow(false, true);
+    }
+
+    private static void swallow(boolean toTarget, boolean fromTarget) throws Exception {
+      try (TestHost a = new TestHost("a", 1);
+          TestHost b = new TestHost("b", 2);
+          Relay relay = new Relay(b.network.address())) {
+        a.sees(TestHost.entry("b", relay.address()));
+        Await.until("linked", () -> a.isLinkedTo(b) && b.isLinkedTo(a));
+        relay.swallow(toTarget, fromTarget);
+        Await.until("dropped", () -> a.count(Counter.LINKS_SILENT) > 0);
+        Await.until("relinked", () -> a.isLinkedTo(b) && b.isLinkedTo(a));
+        a.untilDelivered(b, 1);
+        b.untilDelivered(a, 2);
+      }
+    }
+
+    /** Guards against a peer that stays listed after its process ended. */
+    @Test
+    public void reportsClosedPeer() throws Exception {
+      try (TestHost a = new TestHost("a", 1)) {
+        TestHost b = new TestHost("b", 2);
+        a.sees(b.entry());
+        Await.until("linked", () -> a.isLinkedTo(b));
+        b.close();
+        Await.until("unlinked", () -> a.changes.contains("-" + b.identity.incarnation()));
+        assertEquals(a.network.peers(), List.of());
+      }
+    }
+
+    /**
+     * Guards against an earlier process of a host that keeps or regains the place of its successor.
+     */
+    @Test
+    public void refusesStaleProcess() throws Exception {
+      try (TestHost a = new TestHost("a", 1);
+          TestHost old = new TestHost("b", 2);
+          TestHost restarted = new TestHost("b", 3)) {
+        old.sees(a.entry());
+        Await.until("old linked", () -> a.isLinkedTo(old));
+        restarted.sees(a.entry());
+        Await.until("replaced", () -> a.isLinkedTo(restarted));
+        assertFalse(a.isLinkedTo(old));
+        Await.until("old refused", () -> a.count(Counter.STALE_CONNECTIONS) > 1);
+        assertTrue(a.isLinkedTo(restarted));
+        assertTrue(a.changes.contains("-" + old.identity.incarnation()));
+      }
+    }
+
+    /** Guards against a host that links to itself because the list names it differently. */
+    @Test
+    public void refusesOwnProcess() throws Exception {
+      try (TestHost a = new TestHost("a", 1)) {
+        a.sees(TestHost.entry("alias", a.address()));
+        Await.until("refused", () -> a.count(Counter.OWN_CONNECTIONS) > 1);
+        assertEquals(a.network.peers(), List.of());
+      }
+    }
+  }
+
+  /** Other ends that break the protocol. */
+  public static class InvalidInput {
+    /** Guards against a listener that arbitrary bytes stop or that they fill with links. */
+    @Test
+    public void survivesGarbage() throws Exception {
+      SplittableRandom random = new SplittableRandom(42);
+      try (TestHost a = new TestHost("a", 1);
+          TestHost b = new TestHost("b", 2)) {
+        for (int i = 0; i < 50; i++) {
+          byte[] bytes = new byte[1 + random.nextInt(64)];
+          random.nextBytes(bytes);
+          byte[] framed =
+              ByteBuffer.allocate(4 + bytes.length).putInt(bytes.length).put(bytes).array();
+          expectClosed(a, framed);
+        }
+        expectClosed(a, "GET / HTTP/1.1\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+        expectClosed(a, FrameCodec.encode(new PeerMessage.BillSealed(1)));
+        assertEquals(a.count(Counter.INVALID_FRAMES), 52);
+        b.sees(a.entry());
+        Await.until("linked", () -> a.isLinkedTo(b));
+        assertEquals(a.network.peers().size(), 1);
+      }
+    }
+
+    /** Guards against memory exhausted by a length prefix, before and after the link is up. */
+    @Test
+    public void closesOnOversizedFrame() throws Exception {
+      byte[] length = ByteBuffer.allocate(4).putInt(Integer.MAX_VALUE).array();
+      try (TestHost a = new TestHost("a", 1);
+          RawPeer raw = new RawPeer(a)) {
+        expectClosed(a, length);
+        raw.join();
+        Await.until("linked", () -> a.network.peers().size() == 1);
+        raw.sendBytes(length);
+        raw.untilClosed();
+        assertEquals(a.count(Counter.INVALID_FRAMES), 2);
+      }
+    }
+
+    /** Guards against a link to a release that this one does not understand. */
+    @Test
+    public void refusesOldProtocol() throws Exception {
+      try (TestHost a = new TestHost("a", 1);
+          RawPeer raw = new RawPeer(a)) {
+        raw.send(RawPeer.hello(TcpPeerNetwork.OLDEST_PROTOCOL - 1));
+        raw.untilClosed();
+        assertEquals(a.count(Counter.PROTOCOL_MISMATCHES), 1);
+      }
+    }
+
+    /** Guards against a link lost because the next release sends a new message type. */
+    @Test
+    public void dropsUnknownMessageTypes() throws Exception {
+      byte[] body = {(byte) 0x81, (byte) 0xa1, 't', (byte) 0xa4, 'n', 'e', 'x', 't'};
+      try (TestHost a = new TestHost("a", 1);
+          RawPeer raw = new RawPeer(a)) {
+        raw.join();
+        raw.sendBytes(ByteBuffer.allocate(4 + body.length).putInt(body.length).put(body).array());
+        raw.send(new PeerMessage.BillSealed(5));
+        Await.until("later message", () -> !a.received.isEmpty());
+        assertEquals(a.count(Counter.UNKNOWN_MESSAGES), 1);
+        assertEquals(a.received, List.of(new PeerMessage.BillSealed(5)));
+      }
+    }
+
+    /** Guards against a sender that is blocked, or told "sent", by a peer that does not read. */
+    @Test
+    public void reportsFullQueue() throws Exception {
+      PeerTimings patient =
+          new PeerTimings(
+              Duration.ofMillis(50),
+              Duration.ofMinutes(5),
+              Duration.ofMinutes(5),
+              Duration.ofMillis(20),
+              Duration.ofMillis(200),
+              Duration.ofMillis(50));
+      try (TestHost a = new TestHost("a", 1, builder -> builder.timings(patient));
+          RawPeer raw = new RawPeer(a)) {
+        raw.join();
+        Await.until("linked", () -> a.network.peers().size() == 1);
+        PeerNetwork.Peer peer = a.network.peers().get(0);
+        PeerMessage large = new PeerMessage.DocumentReply(1, "", "x".repeat(1 << 20));
+        Await.until("queue full", () -> !a.network.send(peer.incarnation(), large));
+        assertTrue(a.count(Counter.QUEUE_FULL) > 0);
+      }
+    }
+
+    private static void expectClosed(TestHost host, byte[] bytes) throws Exception {
+      long before = host.count(Counter.INVALID_FRAMES);
+      try (RawPeer raw = new RawPeer(host)) {
+        raw.sendBytes(bytes);
+        raw.untilClosed();
+      }
+      Await.until("counted", () -> host.count(Counter.INVALID_FRAMES) > before);
+    }
+  }
+}
