Add load reports, metrics and the path measurement

Cause: leaving upstreams must be noticed within 3 s, and the added time of the path must be measured against a direct load.

--- a/bench/src/main/java/org/clementinequay/bench/Main.java
+++ b/bench/src/main/java/org/clementinequay/bench/Main.java
@@ -1,11 +1,25 @@
 package org.clementinequay.bench;
 
-/** Entry point. */
+import java.util.Arrays;
+import java.util.List;
+import org.clementinequay.bench.path.PathBench;
+
+/** Runs one of the measurements; started by {@code bin/bench}. */
 public final class Main {
+  private static final int EXIT_USAGE = 2;
+
   private Main() {}
 
-  /** Runs the command line. */
-  public static void main(String[] args) {
-    System.exit(2);
+  /** Runs the measurement named by the first argument. */
+  public static void main(String[] args) throws Exception {
+    String name = args.length == 0 ? "" : args[0];
+    List<String> options = Arrays.asList(args).subList(Math.min(1, args.length), args.length);
+    switch (name) {
+      case "path" -> PathBench.run(options);
+      default -> {
+        System.err.println("usage: bench path [options]");
+        System.exit(EXIT_USAGE);
+      }
+    }
   }
 }
--- a/server/src/main/java/org/clementinequay/server/pipeline/Exchange.java
+++ b/server/src/main/java/org/clementinequay/server/pipeline/Exchange.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.clementinequay.core.Outcome;
 import org.clementinequay.core.RequestFailedException;
 import org.clementinequay.core.RequestId;
@@ -93,6 +94,13 @@
     return failure.map(RequestFailedException::outcome).orElse(Outcome.RAN);
   }
 
+  /** Returns the time from receipt to the first part of a streamed answer, in nanoseconds. */
+  public OptionalLong firstTokenAfterNanos() {
+    return firstTokenNanos == 0
+        ? OptionalLong.empty()
+        : OptionalLong.of(firstTokenNanos - receivedNanos);
+  }
+
   /** Returns the price of all attempts, in millionths of the billing unit. */
   public long costMicros() {
     return attempts.stream().mapToLong(AttemptSummary::costMicros).sum();
--- /dev/null
+++ b/server/src/main/java/org/clementinequay/server/upstream/LoadReportReader.java
@@ -0,0 +1,108 @@
+package org.clementinequay.server.upstream;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.google.common.flogger.FluentLogger;
+import java.io.IOException;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import org.clementinequay.core.config.Upstream;
+import org.clementinequay.core.dispatch.UpstreamTable;
+import org.clementinequay.core.placement.LoadReport;
+import org.clementinequay.core.placement.UpstreamTracker;
+import org.clementinequay.core.time.RuntimeClock;
+import org.eclipse.jetty.client.BufferingResponseListener;
+import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.client.Result;
+
+/**
+ * Duty that asks every upstream for its load. A report that the upstream is leaving ends new work
+ * there at once and is passed to the peers.
+ */
+public final class LoadReportReader implements Runnable {
+  /** Interval of the reports; a sixth of the 3 s within which a leaving upstream must be idle. */
+  public static final Duration INTERVAL = Duration.ofMillis(500);
+
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+  private static final long TIMEOUT_MILLIS = 1000;
+  private static final int STATUS_OK = 200;
+  private static final ObjectMapper JSON = new ObjectMapper();
+
+  private final HttpClient client;
+  private final Supplier<List<Upstream>> upstreams;
+  private final UpstreamTable health;
+  private final UpstreamTracker tracker;
+  private final RuntimeClock clock;
+  private final LeavingListener leaving;
+
+  /** Told when an upstream starts or stops leaving. */
+  public interface LeavingListener {
+    /** Called once for each change. */
+    void changed(String upstream, boolean leaving);
+  }
+
+  /** Creates the duty; run it on a thread of its own. */
+  public LoadReportReader(
+      HttpClient client,
+      Supplier<List<Upstream>> upstreams,
+      UpstreamTable health,
+      UpstreamTracker tracker,
+      RuntimeClock clock,
+      LeavingListener leaving) {
+    this.client = client;
+    this.upstreams = upstreams;
+    this.health = health;
+    this.tracker = tracker;
+    this.clock = clock;
+    this.leaving = leaving;
+  }
+
+  @Override
+  public void run() {
+    while (!Thread.currentThread().isInterrupted()) {
+      upstreams.get().forEach(this::ask);
+      try {
+        clock.sleep(INTERVAL);
+      } catch (InterruptedException e) {
+        return;
+      }
+    }
+  }
+
+  private void ask(Upstream upstream) {
+    client
+        .newRequest("http://" + upstream.address() + "/load")
+        .timeout(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
+        .send(
+            new BufferingResponseListener() {
+              @Override
+              public void onComplete(Result result) {
+                if (result.isSucceeded() && result.getResponse().getStatus() == STATUS_OK) {
+                  accept(upstream, getContent());
+                }
+              }
+            });
+  }
+
+  private void accept(Upstream upstream, byte[] content) {
+    try {
+      JsonNode report = JSON.readTree(content);
+      tracker.reported(
+          upstream.name(),
+          new LoadReport(
+              report.path("running").asInt(),
+              report.path("queued").asInt(),
+              report.path("tokens_per_second").asDouble(),
+              clock.nanoTime()));
+      boolean isLeaving = report.path("leaving").asBoolean();
+      if (health.leaving(upstream.name(), isLeaving)) {
+        leaving.changed(upstream.name(), isLeaving);
+      }
+    } catch (IOException e) {
+      logger.atWarning().atMostEvery(10, TimeUnit.SECONDS).log(
+          "load report of %s is not JSON", upstream.name());
+    }
+  }
+}
