--- a/core/src/main/java/org/clementinequay/core/claim/ClaimAttempt.java
+++ b/core/src/main/java/org/clementinequay/core/claim/ClaimAttempt.java
@@ -54,7 +54,12 @@
    * token is never used, even if its row is written later.
    */
   public boolean abandon() {
-    return decide(new ClaimResult.Refused(RefusalReason.CLAIM_UNCONFIRMED));
+    return refuse(RefusalReason.CLAIM_UNCONFIRMED);
+  }
+
+  /** Refuses the claim for a reason other than the store, under the rules of {@link #abandon}. */
+  public boolean refuse(RefusalReason reason) {
+    return decide(new ClaimResult.Refused(reason));
   }
 
   boolean decide(ClaimResult decision) {
--- a/core/src/main/java/org/clementinequay/core/claim/ClaimResult.java
+++ b/core/src/main/java/org/clementinequay/core/claim/ClaimResult.java
@@ -51,11 +51,16 @@
   record Refused(RefusalReason reason) implements ClaimResult {
     @Override
     public Optional<RequestFailedException> failure() {
-      String message =
-          reason == RefusalReason.IDEMPOTENCY_KEY_REUSED
-              ? "the idempotency key was used with another body"
-              : "the idempotency key could not be claimed in time";
-      return Optional.of(RequestFailedException.notRun(reason, message));
+      return Optional.of(RequestFailedException.notRun(reason, message()));
+    }
+
+    private String message() {
+      return switch (reason) {
+        case IDEMPOTENCY_KEY_REUSED -> "the idempotency key was used with another body";
+        case OVERLOADED -> "too many idempotency keys are waiting to be claimed";
+        case SHUTTING_DOWN -> "the entry host is shutting down";
+        default -> "the idempotency key could not be claimed in time";
+      };
     }
   }
 }
--- a/core/src/main/java/org/clementinequay/core/claim/ClaimService.java
+++ b/core/src/main/java/org/clementinequay/core/claim/ClaimService.java
@@ -126,6 +126,14 @@
     return new Round(undecided, answered);
   }
 
+  /**
+   * Refuses all claims whose deadline is over, also those for which another thread waits in {@link
+   * #round}.
+   */
+  public void abandonLate() {
+    tokens.values().forEach(this::abandonIfLate);
+  }
+
   private void abandonIfLate(ClaimAttempt attempt) {
     if (clock.nanoTime() - attempt.request().deadlineNanos() >= 0) {
       attempt.abandon();
