Claim idempotency keys on the request path

Cause: a non-idempotent call sent twice with one key must run once. Ruled out: claims for idempotent requests, which would stop them while the store is down.

--- a/server/src/main/java/org/clementinequay/server/pipeline/ActiveConfiguration.java
+++ b/server/src/main/java/org/clementinequay/server/pipeline/ActiveConfiguration.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.stream.Stream;
 import org.clementinequay.core.config.AccessPolicy;
 import org.clementinequay.core.config.RevisionedConfiguration;
 import org.clementinequay.core.config.RouterConfiguration;
@@ -21,9 +22,7 @@
     for (Upstream upstream : source.configuration().upstreams()) {
       for (String work : upstream.serves()) {
         upstreamsByWork.merge(
-            work,
-            List.of(upstream),
-            (a, b) -> java.util.stream.Stream.concat(a.stream(), b.stream()).toList());
+            work, List.of(upstream), (a, b) -> Stream.concat(a.stream(), b.stream()).toList());
       }
     }
   }
--- a/server/src/main/java/org/clementinequay/server/pipeline/ChatReply.java
+++ b/server/src/main/java/org/clementinequay/server/pipeline/ChatReply.java
@@ -61,7 +61,7 @@
     if (answer.contentType() != null) {
       headers.put("Content-Type", answer.contentType());
     }
-    exchange.reply().begin(STATUS_OK, headers);
+    exchange.reply().begin(answer.status(), headers);
     exchange.reply().end(ByteBuffer.wrap(answer.body()));
   }
 
--- a/server/src/main/java/org/clementinequay/server/pipeline/ChatRun.java
+++ b/server/src/main/java/org/clementinequay/server/pipeline/ChatRun.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.google.common.flogger.FluentLogger;
+import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.HashSet;
 import java.util.Optional;
@@ -209,15 +210,7 @@
 
   private void accept(ChatAttempt attempt) {
     record(attempt, AttemptSummary.State.ACCEPTED);
-    exchange.answer =
-        new Answer(
-            Optional.of(step().version()),
-            collects() ? attempt.text() : null,
-            attempt.finishReason(),
-            attempt.promptTokens(),
-            attempt.completionTokens(),
-            null,
-            null);
+    exchange.answer = Answer.ofChat(step().version(), collects() ? attempt.text() : null, attempt);
     next.proceed();
   }
 
@@ -279,7 +272,7 @@
   }
 
   private void stop(ChatAttempt attempt) {
-    call.abandon(new java.io.IOException("attempt abandoned"));
+    call.abandon(new IOException("attempt abandoned"));
     if (attempt.offered()) {
       dispatcher.client.cancel(attempt.upstream, attempt.id);
     }
--- a/server/src/main/java/org/clementinequay/server/pipeline/Exchange.java
+++ b/server/src/main/java/org/clementinequay/server/pipeline/Exchange.java
@@ -7,6 +7,7 @@
 import org.clementinequay.core.Outcome;
 import org.clementinequay.core.RequestFailedException;
 import org.clementinequay.core.RequestId;
+import org.clementinequay.core.claim.ClaimAttempt;
 import org.clementinequay.core.config.ClientAccount;
 import org.clementinequay.core.config.RequestClass;
 import org.clementinequay.core.config.Route;
@@ -30,7 +31,7 @@
   List<PlanStep> plan = List.of();
   Optional<RequestFailedException> failure = Optional.empty();
   boolean limitHeld;
-  Object claim;
+  Optional<ClaimAttempt> claim = Optional.empty();
   Answer answer;
   boolean replyStarted;
   boolean callerGone;
--- a/server/src/main/java/org/clementinequay/server/pipeline/RatingQueue.java
+++ b/server/src/main/java/org/clementinequay/server/pipeline/RatingQueue.java
@@ -6,6 +6,7 @@
 import java.util.OptionalDouble;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.clementinequay.core.ModelVersion;
 import org.clementinequay.core.platform.PlatformException;
@@ -67,7 +68,7 @@
           OptionalDouble.of(
               service.rate(task.version, task.requestClass, task.prompt, task.answer));
     } catch (PlatformException e) {
-      logger.atWarning().atMostEvery(10, java.util.concurrent.TimeUnit.SECONDS).log(
+      logger.atWarning().atMostEvery(10, TimeUnit.SECONDS).log(
           "rating service does not answer: %s", e.getMessage());
     }
     try {
--- a/server/src/main/java/org/clementinequay/server/pipeline/RouteRun.java
+++ b/server/src/main/java/org/clementinequay/server/pipeline/RouteRun.java
@@ -76,8 +76,7 @@
     if (call.status < 500 && own && !call.tooLarge) {
       dispatcher.succeeded(call.upstream, 0);
       record(call, AttemptSummary.State.ACCEPTED, exchange.route.costMicros());
-      exchange.answer =
-          new Answer(Optional.empty(), null, "", 0, 0, call.body.toByteArray(), call.contentType);
+      exchange.answer = Answer.ofRoute(call.status, call.contentType, call.body.toByteArray());
       next.proceed();
       return;
     }
--- a/server/src/main/java/org/clementinequay/server/pipeline/RunFilter.java
+++ b/server/src/main/java/org/clementinequay/server/pipeline/RunFilter.java
@@ -13,6 +13,11 @@
 
   @Override
   public void apply(Exchange exchange, Next next) {
+    if (exchange.answer != null) {
+      // The answer of an earlier request with the same idempotency key.
+      next.proceed();
+      return;
+    }
     dispatcher.retries.recordRequest();
     if (exchange.request().kind() == CallerRequest.Kind.ROUTE) {
       new RouteRun(dispatcher, exchange, next).start();
