--- /dev/null
+++ b/bin/lib.sh
@@ -0,0 +1,55 @@
+# Shared by the scripts of this folder: starting and stopping stand-ins and entry hosts.
+# Every process is stopped by the id under which it was started.
+
+root="$(cd "$(dirname "${BASH_SOURCE[0]}")/.." && pwd)"
+work="$(mktemp -d)"
+pids=()
+
+build_missing() {
+  if [ ! -f "$root/server/target/server-0.1.0-all.jar" ] ||
+     [ ! -f "$root/standins/target/standins-0.1.0-all.jar" ] ||
+     [ ! -f "$root/bench/target/bench-0.1.0-all.jar" ]; then
+    echo "building (once) ..."
+    (cd "$root" && mvn -B -q -ntp -DskipTests package) || return 1
+  fi
+}
+
+# start NAME COMMAND...: runs a command in the background; output goes to $work/NAME.log.
+start() {
+  local name="$1"
+  shift
+  "$@" >"$work/$name.log" 2>&1 &
+  pids+=($!)
+  last_pid=$!
+}
+
+standin() {
+  local name="$1"
+  shift
+  start "$name" java -Xmx512m -jar "$root/standins/target/standins-0.1.0-all.jar" "$@"
+}
+
+# wait_http URL: waits until the URL answers 200, for at most 30 s.
+wait_http() {
+  for _ in $(seq 300); do
+    if curl -fsS -o /dev/null "$1" 2>/dev/null; then return 0; fi
+    sleep 0.1
+  done
+  echo "no answer from $1" >&2
+  return 1
+}
+
+# stop_all: ends what was started, last one first, and waits for each. Returns 1 if one failed.
+stop_all() {
+  local failed=0 i
+  for ((i = ${#pids[@]} - 1; i >= 0; i--)); do
+    kill -TERM "${pids[$i]}" 2>/dev/null || true
+    wait "${pids[$i]}" 2>/dev/null
+    local code=$?
+    # 143 is the exit code of a JVM that has no graceful shutdown of its own, as the stand-ins.
+    if [ "$code" -ne 0 ] && [ "$code" -ne 143 ]; then failed=1; fi
+  done
+  pids=()
+  rm -rf "$work"
+  return $failed
+}
--- a/core/src/main/java/org/clementinequay/core/dispatch/UpstreamHealth.java
+++ b/core/src/main/java/org/clementinequay/core/dispatch/UpstreamHealth.java
@@ -20,7 +20,6 @@
   private boolean ejected;
   private boolean probing;
   private boolean leaving;
-  private int outstanding;
   private long probeAtNanos;
   private Duration pause = FIRST_PROBE_AFTER;
 
@@ -29,14 +28,12 @@
   }
 
   void started() {
-    outstanding++;
     if (ejected) {
       probing = true;
     }
   }
 
   void succeeded() {
-    outstanding--;
     failuresInRow = 0;
     ejected = false;
     probing = false;
@@ -44,12 +41,10 @@
   }
 
   void abandoned() {
-    outstanding--;
     probing = false;
   }
 
   boolean failed(long nowNanos) {
-    outstanding--;
     failuresInRow++;
     boolean wasEjected = ejected;
     if (probing || failuresInRow >= FAILURES_TO_EJECT) {
@@ -79,8 +74,4 @@
   boolean isEjected() {
     return ejected;
   }
-
-  int outstanding() {
-    return outstanding;
-  }
 }
--- a/core/src/main/java/org/clementinequay/core/dispatch/UpstreamTable.java
+++ b/core/src/main/java/org/clementinequay/core/dispatch/UpstreamTable.java
@@ -20,9 +20,13 @@
     return health(upstream).available(clock.nanoTime());
   }
 
-  /** Returns the attempts of this entry host in progress there. */
-  public synchronized int outstanding(String upstream) {
-    return health(upstream).outstanding();
+  /** Returns {@code healthy}, {@code ejected} or {@code leaving}. */
+  public synchronized String state(String upstream) {
+    UpstreamHealth health = health(upstream);
+    if (health.isLeaving()) {
+      return "leaving";
+    }
+    return health.isEjected() ? "ejected" : "healthy";
   }
 
   /**
--- a/server/src/main/java/org/clementinequay/server/entry/ConfigurationState.java
+++ b/server/src/main/java/org/clementinequay/server/entry/ConfigurationState.java
@@ -1,63 +1,46 @@
 package org.clementinequay.server.entry;
 
-import java.time.Duration;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import org.clementinequay.core.ModelVersion;
+import org.clementinequay.core.config.RevisionedConfiguration;
 import org.clementinequay.core.config.VersionSpec;
 import org.clementinequay.core.config.VersionState;
+import org.clementinequay.core.spread.RevisionKeeper;
+import org.clementinequay.core.spread.StalenessRule;
 import org.clementinequay.core.time.RuntimeClock;
 import org.clementinequay.server.pipeline.ActiveConfiguration;
 import org.clementinequay.server.pipeline.ConfigurationSource;
 
-/** The configuration in force on this host, its age, and the versions that the brake stopped. */
-public final class ConfigurationState implements ConfigurationSource {
-  /**
-   * Age after which versions being rolled out are no longer used; the limit on new work for a bad
-   * version while this host cannot learn of its withdrawal.
-   */
-  public static final Duration STALE_AFTER = Duration.ofSeconds(15);
+/** The configuration in force on this host as requests see it, and the versions it has stopped. */
+final class ConfigurationState implements ConfigurationSource {
+  private static final Optional<VersionState> ROLLING_OUT = Optional.of(VersionState.ROLLING_OUT);
 
-  private final RuntimeClock clock;
+  private final StalenessRule staleness;
   private final Set<ModelVersion> stopped = ConcurrentHashMap.newKeySet();
   private volatile ActiveConfiguration active;
-  private volatile long refreshedNanos;
 
-  /** Creates a state without configuration. */
-  public ConfigurationState(RuntimeClock clock) {
-    this.clock = clock;
+  ConfigurationState(RevisionKeeper keeper, RuntimeClock clock) {
+    this.staleness = new StalenessRule(keeper, clock);
+    keeper.addListener(this::apply);
   }
 
-  /** Puts a revision in force; a lower one than the present is ignored. */
-  public synchronized boolean apply(ActiveConfiguration newer) {
-    if (active != null && newer.revision() <= active.revision()) {
-      return false;
-    }
+  private void apply(RevisionedConfiguration revision) {
+    ActiveConfiguration newer = new ActiveConfiguration(revision);
     active = newer;
-    return true;
+    stopped.removeIf(version -> !state(newer, version).equals(ROLLING_OUT));
   }
 
-  /** Records that the head of the configuration was read just now. */
-  public void refreshed() {
-    refreshedNanos = clock.nanoTime();
-  }
-
-  /** Stops new work on a version until a newer revision changes its state. */
-  public boolean stop(ModelVersion version) {
+  /** Stops new work on a version until a revision ends its roll-out; false if it was stopped. */
+  boolean stop(ModelVersion version) {
     return stopped.add(version);
   }
 
-  /** Returns the versions that the brake stopped. */
-  public Set<ModelVersion> stopped() {
+  Set<ModelVersion> stopped() {
     return Set.copyOf(stopped);
   }
 
-  /** Returns the time since the last successful refresh. */
-  public Duration age() {
-    return Duration.ofNanos(clock.nanoTime() - refreshedNanos);
-  }
-
   @Override
   public Optional<ActiveConfiguration> current() {
     return Optional.ofNullable(active);
@@ -69,10 +52,11 @@
     if (current == null) {
       return false;
     }
-    Optional<VersionState> state = current.document().version(version).map(VersionSpec::state);
-    if (state.isEmpty() || state.get() != VersionState.ROLLING_OUT) {
-      return state.isPresent();
-    }
-    return !stopped.contains(version) && age().compareTo(STALE_AFTER) < 0;
+    Optional<VersionState> state = state(current, version);
+    return state.isPresent() && staleness.permits(state.get()) && !stopped.contains(version);
+  }
+
+  private static Optional<VersionState> state(ActiveConfiguration in, ModelVersion version) {
+    return in.document().version(version).map(VersionSpec::state);
   }
 }
--- a/server/src/main/java/org/clementinequay/server/entry/EntryHost.java
+++ b/server/src/main/java/org/clementinequay/server/entry/EntryHost.java
@@ -1,119 +1,143 @@
 package org.clementinequay.server.entry;
 
-import com.fasterxml.jackson.core.json.JsonReadFeature;
-import com.fasterxml.jackson.databind.MapperFeature;
-import com.fasterxml.jackson.databind.json.JsonMapper;
 import com.google.common.flogger.FluentLogger;
 import java.io.IOException;
 import java.security.SecureRandom;
 import java.time.Duration;
-import java.util.List;
 import java.util.Optional;
 import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.random.RandomGenerator;
 import org.clementinequay.core.Incarnation;
-import org.clementinequay.core.config.RevisionedConfiguration;
 import org.clementinequay.core.config.RouterConfiguration;
-import org.clementinequay.core.dispatch.UpstreamTable;
-import org.clementinequay.core.limit.AccountLimiter;
-import org.clementinequay.core.placement.TwoChoicesPolicy;
-import org.clementinequay.core.placement.UpstreamTracker;
 import org.clementinequay.core.platform.PlatformException;
-import org.clementinequay.core.session.SessionTokens;
 import org.clementinequay.core.spread.ConfigurationPublisher;
-import org.clementinequay.core.spread.RevisionRecord;
+import org.clementinequay.core.spread.ConfigurationReader;
+import org.clementinequay.core.spread.RevisionKeeper;
 import org.clementinequay.core.time.RuntimeClock;
 import org.clementinequay.core.time.SystemClock;
-import org.clementinequay.server.caller.CallerHandler;
-import org.clementinequay.server.pipeline.ActiveConfiguration;
-import org.clementinequay.server.pipeline.AdmitFilter;
-import org.clementinequay.server.pipeline.ChatReply;
-import org.clementinequay.server.pipeline.Dispatcher;
-import org.clementinequay.server.pipeline.Pipeline;
-import org.clementinequay.server.pipeline.PlanFilter;
-import org.clementinequay.server.pipeline.RatingQueue;
-import org.clementinequay.server.pipeline.ReplyFilter;
-import org.clementinequay.server.pipeline.RunFilter;
-import org.clementinequay.server.pipeline.SessionFilter;
-import org.clementinequay.server.platform.HttpObjectStore;
-import org.clementinequay.server.platform.HttpRatingService;
-import org.clementinequay.server.platform.HttpTableService;
-import org.clementinequay.server.upstream.UpstreamClient;
-import org.eclipse.jetty.client.HttpClient;
+import org.clementinequay.server.document.DocumentParser;
+import org.clementinequay.server.metrics.RouterMetrics;
+import org.clementinequay.server.operator.ConfigurationDesk;
+import org.clementinequay.server.operator.OperatorHandler;
+import org.clementinequay.server.operator.OperatorLogins;
+import org.clementinequay.server.peer.HeartbeatContent;
+import org.clementinequay.server.peer.PeerIdentity;
+import org.clementinequay.server.peer.RevisionSpread;
+import org.clementinequay.server.peer.TcpPeerNetwork;
+import org.clementinequay.server.settings.Settings;
 import org.eclipse.jetty.server.Server;
 
-/** One entry host: wires the parts together, starts and stops them. */
+/** One entry host: wires its parts together, starts them, and stops them gracefully. */
 public final class EntryHost implements AutoCloseable {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
   private static final int CALLER_THREADS = 64;
-  private static final int CLIENT_THREADS = 64;
-  private static final int RATING_THREADS = 4;
-  private static final Duration REFRESH_INTERVAL = Duration.ofSeconds(1);
+  private static final int OPERATOR_THREADS = 16;
   private static final Duration DRAIN_POLL = Duration.ofMillis(20);
 
-  private final EntryHostOptions options;
+  /** Time between "not ready" and the end of new work, in which the balancer notices. */
+  private static final Duration NOT_READY_LEAD = Duration.ofMillis(500);
+
+  private final Settings settings;
   private final RuntimeClock clock = new SystemClock();
+  private final RandomGenerator random = new SplittableRandom();
   private final Incarnation incarnation = Incarnation.random(new SecureRandom());
-  private final ConfigurationState configuration = new ConfigurationState(clock);
-  private final HttpClient upstreamHttp;
-  private final HttpClient platformHttp;
-  private final RatingQueue ratings;
-  private final CallerHandler callerHandler;
+  private final RouterMetrics metrics = new RouterMetrics();
+  private final PlatformClients platform;
+  private final TcpPeerNetwork peers;
+  private final RevisionKeeper keeper;
+  private final ConfigurationState configuration;
+  private final ConfigurationReader reader;
+  private final RequestPath path;
   private final Server callers;
-  private final ConfigurationPublisher publisher;
-  private final Thread refresher;
-
-  /** Creates the parts without starting them. */
-  public EntryHost(EntryHostOptions options) {
-    this.options = options;
-    this.upstreamHttp = HttpParts.client("upstream", CLIENT_THREADS);
-    this.platformHttp = HttpParts.client("platform", CLIENT_THREADS);
-    this.publisher =
-        new ConfigurationPublisher(
-            new HttpTableService(platformHttp, options.tableService(), options.platformTimeout()),
-            new HttpObjectStore(platformHttp, options.objectStore(), options.platformTimeout()),
-            clock);
-    this.ratings =
-        new RatingQueue(
-            new HttpRatingService(platformHttp, options.ratingService(), options.platformTimeout()),
-            RATING_THREADS);
-    this.callerHandler = new CallerHandler(pipeline(), incarnation, clock);
-    this.callers = HttpParts.server("caller", options.callers(), CALLER_THREADS, callerHandler);
-    this.refresher = new Thread(this::refreshLoop, "configuration-reader");
-  }
-
-  private Pipeline pipeline() {
-    AccountLimiter limiter = new AccountLimiter(incarnation);
-    SessionTokens tokens = new SessionTokens(options.sessionKeys());
-    ChatReply replies = new ChatReply(tokens, clock);
-    Dispatcher dispatcher =
-        Dispatcher.builder()
-            .clock(clock)
-            .configuration(configuration)
-            .health(new UpstreamTable(clock))
-            .tracker(new UpstreamTracker())
-            .client(new UpstreamClient(upstreamHttp, options.progressTimeout()))
-            .ratings(ratings)
-            .placement(new TwoChoicesPolicy(new SplittableRandom()))
-            .build();
-    return new Pipeline(
-        List.of(
-            new AdmitFilter(configuration, limiter, clock),
-            new SessionFilter(tokens, configuration, clock),
-            new PlanFilter(configuration, new SplittableRandom()),
-            new RunFilter(dispatcher, replies),
-            new ReplyFilter(replies, limiter, exchange -> {})));
+  private final Server operators;
+  private final Thread refresher = new Thread(this::refresh, "configuration-reader");
+  private volatile boolean leaving;
+
+  /**
+   * Creates the parts and binds the peers' listener; nothing runs yet.
+   *
+   * @throws IOException if the peers' address cannot be bound
+   */
+  public EntryHost(Settings settings) throws IOException {
+    this.settings = settings;
+    this.platform = new PlatformClients(settings);
+    this.peers = network();
+    RevisionSpread spread = new RevisionSpread(peers, EntryHost::parse);
+    this.keeper = new RevisionKeeper(spread::announce);
+    spread.attach(keeper);
+    this.configuration = new ConfigurationState(keeper, clock);
+    ConfigurationPublisher publisher =
+        new ConfigurationPublisher(platform.table, platform.objects, clock);
+    this.reader =
+        new ConfigurationReader(publisher, keeper, EntryHost::parse, spread::askPeers, clock);
+    this.path =
+        new RequestPath(
+            settings, incarnation, clock, platform, configuration, peers, metrics);
+    peers.addListener(
+        new PeerEvents(
+            peers, path, configuration, incarnation, settings.weight(), settings.domain()));
+    this.callers =
+        HttpParts.server("caller", settings.listeners().callers(), CALLER_THREADS, path.handler);
+    this.operators =
+        HttpParts.server(
+            "operator", settings.listeners().operators(), OPERATOR_THREADS, operators(publisher));
+    registerGauges();
+  }
+
+  private TcpPeerNetwork network() throws IOException {
+    PeerIdentity identity =
+        new PeerIdentity(
+            incarnation,
+            settings.name(),
+            settings.domain(),
+            settings.region(),
+            settings.weight());
+    return TcpPeerNetwork.builder(identity)
+        .listen(HttpParts.parse(settings.listeners().peers()))
+        .directory(platform.directory)
+        .clock(clock)
+        .heartbeat(this::heartbeat)
+        .build();
+  }
+
+  private OperatorHandler operators(ConfigurationPublisher publisher) {
+    ConfigurationDesk desk =
+        new ConfigurationDesk(publisher, (accepted, text) -> refresher.interrupt());
+    return new OperatorHandler(
+        new OperatorLogins(settings.operators()),
+        desk,
+        new EntryView(this),
+        new TableBills(platform),
+        metrics::scrape);
+  }
+
+  private void registerGauges() {
+    metrics.gauge("clementinequay_open_requests", path.handler::openRequests);
+    metrics.gauge("clementinequay_revision", keeper::revision);
+    metrics.gauge("clementinequay_peers", () -> peers.peers().size());
+    metrics.gauge(
+        "clementinequay_heap_used_bytes",
+        () -> Runtime.getRuntime().totalMemory() - Runtime.getRuntime().freeMemory());
+  }
+
+  private HeartbeatContent heartbeat() {
+    long open = path.handler.openRequests();
+    return new HeartbeatContent(keeper.revision(), leaving, open, open / settings.weight());
   }
 
   /** Starts all listeners and duties. */
   public void start() throws Exception {
-    upstreamHttp.start();
-    platformHttp.start();
+    platform.start();
+    path.start();
+    peers.start();
     refresher.setDaemon(true);
     refresher.start();
     callers.start();
+    operators.start();
     logger.atInfo().log(
-        "entry host %s started, incarnation %s, callers on port %d",
-        options.name(), incarnation, callerPort());
+        "entry host %s started, incarnation %s, callers on port %d, operators on port %d",
+        settings.name(), incarnation, callerPort(), operatorPort());
   }
 
   /** Returns the port of the callers' listener. */
@@ -121,74 +145,100 @@
     return HttpParts.port(callers);
   }
 
-  /** Returns whether a configuration is in force. */
+  /** Returns the port of the operators' listener. */
+  public int operatorPort() {
+    return HttpParts.port(operators);
+  }
+
+  /** Returns the port of the peers' listener. */
+  public int peerPort() {
+    return peers.address().getPort();
+  }
+
+  /** Returns whether callers may be sent here: a configuration is in force, and it is staying. */
   public boolean ready() {
-    return configuration.current().isPresent();
+    return !leaving && configuration.current().isPresent();
   }
 
-  private void refreshLoop() {
-    while (!Thread.currentThread().isInterrupted()) {
-      try {
-        refresh();
-        clock.sleep(REFRESH_INTERVAL);
-      } catch (PlatformException | IOException e) {
-        logger.atWarning().log("configuration cannot be read: %s", e.getMessage());
-        pause();
-      } catch (InterruptedException e) {
-        return;
-      }
-    }
+  Settings settings() {
+    return settings;
   }
 
-  private void pause() {
-    try {
-      clock.sleep(REFRESH_INTERVAL);
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
-    }
+  Incarnation incarnation() {
+    return incarnation;
   }
 
-  private void refresh() throws PlatformException, IOException {
-    Optional<RevisionRecord> head = publisher.head();
-    configuration.refreshed();
-    long known = configuration.current().map(ActiveConfiguration::revision).orElse(0L);
-    if (head.isEmpty() || head.get().revision() <= known) {
-      return;
-    }
-    Optional<String> text = publisher.document(head.get().hash());
-    if (text.isPresent()) {
-      RouterConfiguration parsed = DocumentMapper.parse(text.get());
-      configuration.apply(
-          new ActiveConfiguration(
-              new RevisionedConfiguration(
-                  head.get().revision(), head.get().hash(), text.get(), parsed)));
+  boolean leaving() {
+    return leaving;
+  }
+
+  RevisionKeeper keeper() {
+    return keeper;
+  }
+
+  ConfigurationState configuration() {
+    return configuration;
+  }
+
+  RequestPath path() {
+    return path;
+  }
+
+  TcpPeerNetwork peers() {
+    return peers;
+  }
+
+  RuntimeClock clock() {
+    return clock;
+  }
+
+  private static Optional<RouterConfiguration> parse(
+      String text) {
+    return DocumentParser.parse(text).configuration();
+  }
+
+  /** An interrupt only ends the pause early, after a submission on this host. */
+  private void refresh() {
+    while (!leaving) {
+      try {
+        reader.step();
+      } catch (PlatformException e) {
+        logger.atWarning().atMostEvery(10, TimeUnit.SECONDS).log(
+            "configuration cannot be read: %s", e.getMessage());
+      } catch (RuntimeException e) {
+        logger.atSevere().withCause(e).log("configuration reader failed");
+      }
+      try {
+        clock.sleep(ConfigurationReader.pause(random));
+      } catch (InterruptedException e) {
+        logger.atFine().log("reading the configuration at once");
+      }
     }
   }
 
-  /** Stops gracefully: no new requests, open ones finish, then the listeners close. */
+  /**
+   * Stops gracefully: not ready first, then no new requests, open ones finish, claims and bills are
+   * handed over, then the listeners close.
+   */
   @Override
   public void close() throws Exception {
-    callerHandler.drain();
-    long deadline = clock.nanoTime() + options.drainTimeout().toNanos();
-    while (callerHandler.openRequests() > 0 && clock.nanoTime() < deadline) {
+    leaving = true;
+    clock.sleep(NOT_READY_LEAD);
+    path.handler.drain();
+    long deadline = clock.nanoTime() + Duration.ofSeconds(settings.drainSeconds()).toNanos();
+    while (path.handler.openRequests() > 0 && clock.nanoTime() < deadline) {
       clock.sleep(DRAIN_POLL);
     }
+    long cut = path.handler.openRequests();
+    if (cut > 0) {
+      logger.atSevere().log("shutdown cuts %d requests after the drain timeout", cut);
+    }
     callers.stop();
     refresher.interrupt();
-    ratings.close();
-    upstreamHttp.stop();
-    platformHttp.stop();
-  }
-
-  private static final class DocumentMapper {
-    private static final JsonMapper JSON =
-        JsonMapper.builder()
-            .enable(JsonReadFeature.ALLOW_JAVA_COMMENTS)
-            .enable(MapperFeature.ACCEPT_CASE_INSENSITIVE_ENUMS)
-            .build();
-
-    private static RouterConfiguration parse(String text) throws IOException {
-      return JSON.readValue(text, RouterConfiguration.class);
-    }
+    path.close();
+    peers.close();
+    operators.stop();
+    platform.close();
+    logger.atInfo().log("entry host %s stopped", settings.name());
   }
 }
--- /dev/null
+++ b/server/src/main/java/org/clementinequay/server/entry/PeerEvents.java
@@ -0,0 +1,81 @@
+package org.clementinequay.server.entry;
+
+import com.google.common.flogger.FluentLogger;
+import java.util.HashMap;
+import java.util.Map;
+import org.clementinequay.core.Incarnation;
+import org.clementinequay.core.ModelVersion;
+import org.clementinequay.server.peer.PeerMessage;
+import org.clementinequay.server.peer.PeerNetwork;
+
+/** Takes up what the peers tell of upstreams, versions and their own coming and going. */
+final class PeerEvents implements PeerNetwork.Listener {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+  private final PeerNetwork network;
+  private final RequestPath path;
+  private final ConfigurationState configuration;
+  private final Incarnation self;
+  private final double weight;
+  private final String domain;
+
+  PeerEvents(
+      PeerNetwork network,
+      RequestPath path,
+      ConfigurationState configuration,
+      Incarnation self,
+      double weight,
+      String domain) {
+    this.network = network;
+    this.path = path;
+    this.configuration = configuration;
+    this.self = self;
+    this.weight = weight;
+    this.domain = domain;
+  }
+
+  @Override
+  public void received(PeerNetwork.Peer from, PeerMessage message) {
+    if (message instanceof PeerMessage.UpstreamNews news) {
+      // Ejection tells of the sender's connections, which other domains do not share.
+      if (from.domain().equals(domain) || !news.state().equals(UpstreamState.EJECTED.label())) {
+        UpstreamState.ofLabel(news.state())
+            .ifPresent(state -> state.apply(path.health, news.upstream()));
+      }
+    } else if (message instanceof PeerMessage.VersionStopped stopped) {
+      stop(from, stopped);
+    } else if (message instanceof PeerMessage.Heartbeat) {
+      path.tracker.distance(from.domain(), from.roundTripNanos());
+    }
+  }
+
+  private void stop(PeerNetwork.Peer from, PeerMessage.VersionStopped stopped) {
+    try {
+      if (configuration.stop(ModelVersion.parse(stopped.modelVersion()))) {
+        logger.atWarning().log(
+            "peer %s stopped version %s: %s",
+            from.host(), stopped.modelVersion(), stopped.evidence());
+      }
+    } catch (IllegalArgumentException e) {
+      logger.atWarning().log("peer %s named no version: %s", from.host(), e.getMessage());
+    }
+  }
+
+  @Override
+  public void linked(PeerNetwork.Peer peer) {
+    updateMembers();
+  }
+
+  @Override
+  public void unlinked(PeerNetwork.Peer peer) {
+    path.tracker.peerGone(peer.incarnation());
+    updateMembers();
+  }
+
+  private void updateMembers() {
+    Map<Incarnation, Double> weights = new HashMap<>();
+    weights.put(self, weight);
+    network.peers().forEach(peer -> weights.put(peer.incarnation(), peer.weight()));
+    path.limiter.membersChanged(weights);
+  }
+}
--- /dev/null
+++ b/server/src/main/java/org/clementinequay/server/entry/RequestPath.java
@@ -0,0 +1,146 @@
+package org.clementinequay.server.entry;
+
+import java.time.Duration;
+import java.util.Base64;
+import java.util.List;
+import java.util.SplittableRandom;
+import org.clementinequay.core.Incarnation;
+import org.clementinequay.core.claim.ClaimService;
+import org.clementinequay.core.config.Upstream;
+import org.clementinequay.core.dispatch.UpstreamTable;
+import org.clementinequay.core.limit.AccountLimiter;
+import org.clementinequay.core.placement.TwoChoicesPolicy;
+import org.clementinequay.core.placement.UpstreamTracker;
+import org.clementinequay.core.session.SessionKey;
+import org.clementinequay.core.session.SessionTokens;
+import org.clementinequay.core.time.RuntimeClock;
+import org.clementinequay.server.caller.CallerHandler;
+import org.clementinequay.server.claim.ClaimWriter;
+import org.clementinequay.server.metrics.RouterMetrics;
+import org.clementinequay.server.peer.PeerMessage;
+import org.clementinequay.server.peer.PeerNetwork;
+import org.clementinequay.server.pipeline.ActiveConfiguration;
+import org.clementinequay.server.pipeline.AdmitFilter;
+import org.clementinequay.server.pipeline.ChatReply;
+import org.clementinequay.server.pipeline.ClaimFilter;
+import org.clementinequay.server.pipeline.ClaimSettlementFilter;
+import org.clementinequay.server.pipeline.Dispatcher;
+import org.clementinequay.server.pipeline.Pipeline;
+import org.clementinequay.server.pipeline.PlanFilter;
+import org.clementinequay.server.pipeline.RatingQueue;
+import org.clementinequay.server.pipeline.ReplyFilter;
+import org.clementinequay.server.pipeline.RunFilter;
+import org.clementinequay.server.pipeline.SessionFilter;
+import org.clementinequay.server.settings.Settings;
+import org.clementinequay.server.upstream.LoadReportReader;
+import org.clementinequay.server.upstream.UpstreamClient;
+import org.eclipse.jetty.client.HttpClient;
+
+/** Everything that a request passes on this host, from the callers' handler to the upstreams. */
+final class RequestPath implements AutoCloseable {
+  private static final int CLIENT_THREADS = 64;
+  private static final int RATING_THREADS = 4;
+
+  final UpstreamTable health;
+  final UpstreamTracker tracker = new UpstreamTracker();
+  final AccountLimiter limiter;
+  final CallerHandler handler;
+  private final HttpClient http = HttpParts.client("upstream", CLIENT_THREADS);
+  private final ClaimWriter claims;
+  private final RatingQueue ratings;
+  private final Thread loadReports;
+  private final RuntimeClock clock;
+  private final PeerNetwork peers;
+
+  RequestPath(
+      Settings settings,
+      Incarnation incarnation,
+      RuntimeClock clock,
+      PlatformClients platform,
+      ConfigurationState configuration,
+      PeerNetwork peers,
+      RouterMetrics metrics) {
+    this.clock = clock;
+    this.peers = peers;
+    this.health = new UpstreamTable(clock);
+    this.limiter = new AccountLimiter(incarnation);
+    this.ratings = new RatingQueue(platform.ratings, RATING_THREADS);
+    this.claims =
+        new ClaimWriter(
+            new ClaimService(platform.table, platform.objects, clock, incarnation),
+            clock,
+            ClaimWriter.Metrics.NONE);
+    SessionTokens tokens = new SessionTokens(sessionKeys(settings));
+    ChatReply replies = new ChatReply(tokens, clock);
+    Dispatcher dispatcher = dispatcher(settings, configuration);
+    Pipeline pipeline =
+        new Pipeline(
+            List.of(
+                new AdmitFilter(configuration, limiter, clock),
+                new SessionFilter(tokens, configuration, clock),
+                new ClaimFilter(claims, clock),
+                new PlanFilter(configuration, new SplittableRandom()),
+                new RunFilter(dispatcher, replies),
+                new ClaimSettlementFilter(claims),
+                new ReplyFilter(
+                    replies,
+                    limiter,
+                    exchange -> metrics.finished(exchange, clock.nanoTime()))));
+    this.handler = new CallerHandler(pipeline, incarnation, clock);
+    this.loadReports =
+        new Thread(
+            new LoadReportReader(
+                http, () -> upstreams(configuration), health, tracker, clock, this::announce),
+            "load-report-reader");
+    loadReports.setDaemon(true);
+  }
+
+  private Dispatcher dispatcher(Settings settings, ConfigurationState configuration) {
+    Duration progress = Duration.ofMillis(settings.timeouts().progressMillis());
+    return Dispatcher.builder()
+        .clock(clock)
+        .configuration(configuration)
+        .health(health)
+        .tracker(tracker)
+        .client(new UpstreamClient(http, progress))
+        .ratings(ratings)
+        .events(upstream -> broadcast(upstream, UpstreamState.EJECTED))
+        .placement(new TwoChoicesPolicy(new SplittableRandom()))
+        .build();
+  }
+
+  private static List<SessionKey> sessionKeys(Settings settings) {
+    return settings.sessionKeys().stream()
+        .map(key -> new SessionKey(key.id(), Base64.getDecoder().decode(key.secret())))
+        .toList();
+  }
+
+  private static List<Upstream> upstreams(ConfigurationState configuration) {
+    return configuration.current().map(ActiveConfiguration::document).stream()
+        .flatMap(document -> document.upstreams().stream())
+        .toList();
+  }
+
+  private void announce(String upstream, boolean leaving) {
+    broadcast(upstream, leaving ? UpstreamState.LEAVING : UpstreamState.STAYING);
+  }
+
+  private void broadcast(String upstream, UpstreamState state) {
+    peers.broadcast(
+        new PeerMessage.UpstreamNews(upstream, state.label(), clock.now().toEpochMilli()));
+  }
+
+  void start() throws Exception {
+    http.start();
+    claims.start();
+    loadReports.start();
+  }
+
+  @Override
+  public void close() throws Exception {
+    loadReports.interrupt();
+    claims.close();
+    ratings.close();
+    http.stop();
+  }
+}
--- a/server/src/main/java/org/clementinequay/server/pipeline/ChatRun.java
+++ b/server/src/main/java/org/clementinequay/server/pipeline/ChatRun.java
@@ -1,5 +1,7 @@
 package org.clementinequay.server.pipeline;
 
+import org.clementinequay.core.billing.BilledAttempt;
+import org.clementinequay.core.billing.AttemptState;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.google.common.flogger.FluentLogger;
 import java.io.IOException;
@@ -203,13 +205,13 @@
       accept(attempt);
       return;
     }
-    record(attempt, AttemptSummary.State.REJECTED_DRAFT);
+    record(attempt, AttemptState.REJECTED_DRAFT);
     nextStep();
     attempt();
   }
 
   private void accept(ChatAttempt attempt) {
-    record(attempt, AttemptSummary.State.ACCEPTED);
+    record(attempt, AttemptState.ACCEPTED);
     exchange.answer = Answer.ofChat(step().version(), collects() ? attempt.text() : null, attempt);
     next.proceed();
   }
@@ -227,7 +229,7 @@
     if (exchange.callerGone) {
       dispatcher.abandoned(attempt.upstream, expectedTokens);
       stop(attempt);
-      record(attempt, AttemptSummary.State.CANCELLED);
+      record(attempt, AttemptState.CANCELLED);
       fail(RefusalReason.ANSWER_INCOMPLETE, "the caller closed the connection");
       return;
     }
@@ -242,7 +244,7 @@
     }
     stop(attempt);
     if (attempt.offered()) {
-      record(attempt, AttemptSummary.State.FAILED);
+      record(attempt, AttemptState.FAILED);
     }
     if (triesInStep >= MAX_ATTEMPTS_PER_STEP || !dispatcher.retries.tryRetry()) {
       skipStep(RefusalReason.UPSTREAM_FAILED, "upstreams failed to answer");
@@ -258,7 +260,7 @@
         || !dispatcher.retries.tryRetry()
         || !dispatcher.health.tryStart(attempt.upstream.name())) {
       stop(attempt);
-      record(attempt, AttemptSummary.State.FAILED);
+      record(attempt, AttemptState.FAILED);
       fail(RefusalReason.ANSWER_INCOMPLETE, "the answer broke off and could not be resumed");
       return;
     }
@@ -294,7 +296,7 @@
     triedUpstreams.clear();
   }
 
-  private void record(ChatAttempt attempt, AttemptSummary.State state) {
+  private void record(ChatAttempt attempt, AttemptState state) {
     offered = true;
     ModelVersion version = step().version();
     long prompt = attempt.promptTokens() > 0 ? attempt.promptTokens() : promptTokens;
@@ -307,9 +309,9 @@
             .map((VersionSpec spec) -> spec.costMicros(prompt, completion))
             .orElse(0L);
     exchange.addAttempt(
-        new AttemptSummary(
+        new BilledAttempt(
             attempt.id.number(),
-            Optional.of(version),
+            version.toString(),
             attempt.upstream.name(),
             state,
             prompt,
--- a/server/src/main/java/org/clementinequay/server/pipeline/Exchange.java
+++ b/server/src/main/java/org/clementinequay/server/pipeline/Exchange.java
@@ -1,5 +1,6 @@
 package org.clementinequay.server.pipeline;
 
+import org.clementinequay.core.billing.BilledAttempt;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -36,7 +37,7 @@
   boolean replyStarted;
   boolean callerGone;
   long firstTokenNanos;
-  private final List<AttemptSummary> attempts = new ArrayList<>();
+  private final List<BilledAttempt> attempts = new ArrayList<>();
 
   /** Creates the state of a new request. */
   public Exchange(RequestId id, CallerRequest request, ReplySink reply, long receivedNanos) {
@@ -82,11 +83,11 @@
   }
 
   /** Returns the finished attempts in order. */
-  public List<AttemptSummary> attempts() {
+  public List<BilledAttempt> attempts() {
     return attempts;
   }
 
-  void addAttempt(AttemptSummary attempt) {
+  void addAttempt(BilledAttempt attempt) {
     attempts.add(attempt);
   }
 
@@ -104,6 +105,6 @@
 
   /** Returns the price of all attempts, in millionths of the billing unit. */
   public long costMicros() {
-    return attempts.stream().mapToLong(AttemptSummary::costMicros).sum();
+    return attempts.stream().mapToLong(BilledAttempt::costMicros).sum();
   }
 }
--- a/server/src/main/java/org/clementinequay/server/pipeline/RouteRun.java
+++ b/server/src/main/java/org/clementinequay/server/pipeline/RouteRun.java
@@ -1,5 +1,7 @@
 package org.clementinequay.server.pipeline;
 
+import org.clementinequay.core.billing.BilledAttempt;
+import org.clementinequay.core.billing.AttemptState;
 import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
 import java.util.HashSet;
@@ -75,7 +77,7 @@
     boolean own = call.id.toString().equals(call.answeredAttempt);
     if (call.status < 500 && own && !call.tooLarge) {
       dispatcher.succeeded(call.upstream, 0);
-      record(call, AttemptSummary.State.ACCEPTED, exchange.route.costMicros());
+      record(call, AttemptState.ACCEPTED, exchange.route.costMicros());
       exchange.answer = Answer.ofRoute(call.status, call.contentType, call.body.toByteArray());
       next.proceed();
       return;
@@ -87,7 +89,7 @@
     offered |= wasOffered;
     dispatcher.failed(call.upstream, 0);
     if (wasOffered) {
-      record(call, AttemptSummary.State.FAILED, 0);
+      record(call, AttemptState.FAILED, 0);
     }
     boolean repeatable = exchange.route.idempotent() || !offered;
     if (repeatable && attempts < MAX_ATTEMPTS && dispatcher.retries.tryRetry()) {
@@ -97,11 +99,11 @@
     }
   }
 
-  private void record(Call call, AttemptSummary.State state, long costMicros) {
+  private void record(Call call, AttemptState state, long costMicros) {
     offered = true;
     exchange.addAttempt(
-        new AttemptSummary(
-            call.id.number(), Optional.empty(), call.upstream.name(), state, 0, 0, costMicros));
+        new BilledAttempt(
+            call.id.number(), exchange.route.name(), call.upstream.name(), state, 0, 0, costMicros));
   }
 
   private void fail(RefusalReason reason, String message) {
