Add leases with fencing numbers and fenced orders

One holder for a duty without trust in wall clocks: validity counts from before the read that precedes a write, candidates watch one row version for the duration plus a margin. The read and not the write is the start, because a write whose answer was lost may be applied late and pass for its repeat; a test shows two holders otherwise.

--- /dev/null
+++ b/core/src/test/java/org/clementinequay/core/lease/LeaseTest.java
@@ -0,0 +1,382 @@
+package org.clementinequay.core.lease;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertThrows;
+import static org.testng.Assert.assertTrue;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.SplittableRandom;
+import org.clementinequay.core.Incarnation;
+import org.clementinequay.core.config.Upstream;
+import org.clementinequay.core.config.UpstreamKind;
+import org.clementinequay.core.platform.AnswerLostException;
+import org.clementinequay.core.platform.PlatformException;
+import org.clementinequay.core.platform.PlatformUnavailableException;
+import org.clementinequay.core.platform.memory.CallHook;
+import org.clementinequay.core.platform.memory.InMemoryTableService;
+import org.clementinequay.core.time.ManualClock;
+import org.clementinequay.core.time.RuntimeClock;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Tests of leases and orders. */
+public class LeaseTest {
+  private static final LeaseTerms TERMS = LeaseTerms.PRODUCTION;
+  private static final Duration TAKE_OVER = TERMS.duration().plus(TERMS.takeOverMargin());
+  private static final String DUTY = "rollouts";
+
+  /** Fails chosen calls. */
+  private static final class Faults implements CallHook {
+    private String loseNext = "";
+    private boolean down;
+    private Runnable beforeNextCommit = () -> {};
+    private Runnable afterNextRead = () -> {};
+
+    @Override
+    public void beforeEffect(String operation) throws PlatformException {
+      if (down) {
+        throw new PlatformUnavailableException("down");
+      }
+      if (operation.equals("commit")) {
+        Runnable action = beforeNextCommit;
+        beforeNextCommit = () -> {};
+        action.run();
+      }
+    }
+
+    @Override
+    public void afterEffect(String operation) throws PlatformException {
+      if (operation.equals("read")) {
+        Runnable action = afterNextRead;
+        afterNextRead = () -> {};
+        action.run();
+      }
+      if (operation.equals(loseNext)) {
+        loseNext = "";
+        throw new AnswerLostException("lost");
+      }
+    }
+  }
+
+  /** A fixture with a store and two candidates on one clock. */
+  private abstract static class Fixture {
+    Faults faults;
+    ManualClock clock;
+    LeaseStore store;
+    LeaseCandidate a;
+    LeaseCandidate b;
+
+    /** Creates the store and the candidates. */
+    @BeforeMethod
+    public void create() {
+      faults = new Faults();
+      clock = new ManualClock(Instant.parse("2026-12-04T12:00:00Z"));
+      store = new LeaseStore(new InMemoryTableService(faults));
+      a = candidate(1, clock);
+      b = candidate(2, clock);
+    }
+
+    LeaseCandidate candidate(long seed, RuntimeClock candidateClock) {
+      Incarnation self = Incarnation.random(new SplittableRandom(seed));
+      return new LeaseCandidate(store, DUTY, self, TERMS, candidateClock);
+    }
+
+    static boolean stepUnchecked(LeaseCandidate candidate) {
+      try {
+        return candidate.step(true);
+      } catch (PlatformException e) {
+        throw new AssertionError(e);
+      }
+    }
+
+    LeaseGuard guard(LeaseCandidate candidate) {
+      return new LeaseGuard(DUTY, candidate::lease, TERMS.orderMargin());
+    }
+  }
+
+  /** Change of the holder. */
+  public static class TakeOver extends Fixture {
+    /** Guards against a take-over before the validity of a silent holder is over. */
+    @Test
+    public void waitsForDurationAndMargin() throws Exception {
+      assertTrue(a.step(true));
+      assertFalse(b.step(true));
+      clock.advance(TAKE_OVER.minusMillis(1));
+      assertFalse(b.step(true));
+      clock.advance(Duration.ofMillis(1));
+      assertTrue(b.step(true));
+      assertEquals(b.lease().get().fencing(), a.lease().get().fencing() + 1);
+    }
+
+    /** Guards against a wait that goes on counting although the holder renewed. */
+    @Test
+    public void renewalRestartsTheWait() throws Exception {
+      assertTrue(a.step(true));
+      assertFalse(b.step(true));
+      for (int i = 0; i < 20; i++) {
+        clock.advance(TERMS.renewEvery());
+        assertTrue(a.step(true));
+        assertFalse(b.step(true));
+      }
+      assertEquals(a.lease().get().fencing(), 1);
+    }
+
+    /** Guards against a holder that acts after a pause across its expiry. */
+    @Test
+    public void pausedHolderIsStoppedByTheGuard() throws Exception {
+      assertTrue(a.step(true));
+      b.step(true);
+      guard(a).check();
+      clock.advance(TAKE_OVER);
+      assertTrue(b.step(true));
+      assertThrows(LeaseNotHeldException.class, () -> guard(a).check());
+      assertFalse(a.step(true));
+      assertEquals(a.lease(), Optional.empty());
+      assertEquals(guard(b).check().fencing(), 2);
+    }
+
+    /** Guards against an order that leaves when the validity is nearly over. */
+    @Test
+    public void guardKeepsItsMargin() throws Exception {
+      assertTrue(a.step(true));
+      clock.advance(TERMS.duration().minus(TERMS.orderMargin()));
+      guard(a).check();
+      clock.advance(Duration.ofNanos(1));
+      assertThrows(LeaseNotHeldException.class, () -> guard(a).check());
+    }
+
+    /** Guards against two holders after a race of candidates for one row version. */
+    @Test
+    public void oneOfTwoRacersWins() throws Exception {
+      faults.beforeNextCommit = () -> assertTrue(stepUnchecked(b));
+      assertFalse(a.step(true));
+      assertTrue(b.lease().isPresent());
+      assertEquals(store.read(DUTY).get().lease().fencing(), 1);
+    }
+
+    /** Guards against races between candidates when the preferred one is alive. */
+    @Test
+    public void othersLeaveTimeToThePreferred() throws Exception {
+      assertFalse(a.step(false));
+      assertTrue(b.step(true));
+      clock.advance(TAKE_OVER);
+      assertFalse(a.step(false));
+      LeaseCandidate c = candidate(3, clock);
+      assertFalse(c.step(false));
+      clock.advance(TAKE_OVER);
+      assertFalse(c.step(false));
+      clock.advance(TERMS.otherCandidatesDelay());
+      assertTrue(c.step(false));
+    }
+
+    /** Guards against decisions that depend on wall clocks, which may be stepped. */
+    @Test
+    public void wallClockStepsChangeNothing() throws Exception {
+      SteppedClock stepped = new SteppedClock(clock);
+      LeaseCandidate holder = candidate(4, stepped);
+      LeaseCandidate other = candidate(5, stepped);
+      assertTrue(holder.step(true));
+      assertFalse(other.step(true));
+      stepped.offset = Duration.ofDays(365);
+      assertFalse(other.step(true));
+      assertTrue(holder.lease().get().remaining().equals(TERMS.duration()));
+      stepped.offset = Duration.ofDays(-365);
+      clock.advance(TAKE_OVER);
+      assertTrue(other.step(true));
+      assertTrue(holder.lease().get().remaining().isZero());
+    }
+  }
+
+  /** A clock whose wall-clock time can be stepped. */
+  private static final class SteppedClock implements RuntimeClock {
+    private final RuntimeClock base;
+    private Duration offset = Duration.ZERO;
+
+    private SteppedClock(RuntimeClock base) {
+      this.base = base;
+    }
+
+    @Override
+    public Instant now() {
+      return base.now().plus(offset);
+    }
+
+    @Override
+    public long nanoTime() {
+      return base.nanoTime();
+    }
+
+    @Override
+    public void sleep(Duration duration) throws InterruptedException {
+      base.sleep(duration);
+    }
+  }
+
+  /** Calls without an answer, and the end of a holder. */
+  public static class Faulty extends Fixture {
+    /** Guards against a lease that nobody uses because the answer to its take-over was lost. */
+    @Test
+    public void lostAnswerOfTakeOverIsReadBack() throws Exception {
+      faults.loseNext = "commit";
+      assertTrue(a.step(true));
+      assertEquals(a.lease().get().fencing(), 1);
+    }
+
+    /** Guards against a validity that a lost renewal shortens or extends too far. */
+    @Test
+    public void lostAnswerOfRenewalIsReadBack() throws Exception {
+      assertTrue(a.step(true));
+      clock.advance(TERMS.renewEvery());
+      faults.loseNext = "commit";
+      assertTrue(a.step(true));
+      assertEquals(a.lease().get().remaining(), TERMS.duration());
+      assertEquals(a.lease().get().fencing(), 1);
+    }
+
+    /**
+     * Guards against a validity that outlasts a candidate's wait, because a renewal whose answer
+     * was lost was applied late and is then taken for the next one.
+     */
+    @Test
+    public void renewalAppliedLateDoesNotExtendTheValidity() throws Exception {
+      assertTrue(a.step(true));
+      clock.advance(TERMS.renewEvery());
+      LeaseStore.Stored before = store.read(DUTY).get();
+      LeaseRecord renewal = before.lease().renewed(TERMS.duration());
+      faults.afterNextRead =
+          () -> {
+            assertTrue(writeUnchecked(before.version(), renewal));
+            assertFalse(stepUnchecked(b));
+            clock.advance(TAKE_OVER);
+            faults.loseNext = "commit";
+          };
+      assertFalse(a.step(true));
+      assertTrue(b.step(true));
+      assertThrows(LeaseNotHeldException.class, () -> guard(a).check());
+    }
+
+    private boolean writeUnchecked(long version, LeaseRecord lease) {
+      try {
+        return store.write(DUTY, version, lease);
+      } catch (PlatformException e) {
+        throw new AssertionError(e);
+      }
+    }
+
+    /** Guards against a holder that goes on beyond its validity during an outage. */
+    @Test
+    public void outageEndsTheLeaseInTime() throws Exception {
+      assertTrue(a.step(true));
+      faults.down = true;
+      clock.advance(TERMS.renewEvery());
+      assertThrows(PlatformException.class, () -> a.step(true));
+      guard(a).check();
+      clock.advance(TERMS.duration());
+      assertThrows(LeaseNotHeldException.class, () -> guard(a).check());
+      faults.down = false;
+      assertTrue(a.step(true));
+      assertEquals(guard(a).check().fencing(), 1);
+    }
+
+    /** Guards against a validity counted from after a slow renewal was sent. */
+    @Test
+    public void slowRenewalCountsFromBeforeItWasSent() throws Exception {
+      assertTrue(a.step(true));
+      clock.advance(TERMS.renewEvery());
+      faults.beforeNextCommit = () -> clock.advance(Duration.ofSeconds(4));
+      assertTrue(a.step(true));
+      assertEquals(a.lease().get().remaining(), TERMS.duration().minusSeconds(4));
+    }
+
+    /** Guards against a planned stop that leaves the duty idle until the lease ends. */
+    @Test
+    public void releaseHandsOverAtOnce() throws Exception {
+      assertTrue(a.step(true));
+      a.release();
+      assertThrows(LeaseNotHeldException.class, () -> guard(a).check());
+      assertFalse(a.step(true));
+      assertTrue(b.step(true));
+      assertEquals(b.lease().get().fencing(), 2);
+    }
+  }
+
+  /** Orders under a lease. */
+  public static class Orders extends Fixture {
+    private static final Set<String> TARGET = Set.of("label@2");
+
+    private static final class Port implements OrderPort {
+      private final Set<String> loaded = new HashSet<>(Set.of("label@1"));
+      private long greatestFencing;
+      private Runnable duringRead = () -> {};
+
+      @Override
+      public Set<String> versions(Upstream upstream) {
+        duringRead.run();
+        return loaded;
+      }
+
+      @Override
+      public boolean send(Upstream upstream, Order order) {
+        if (upstream.checksFencing() && order.fencing() < greatestFencing) {
+          return false;
+        }
+        greatestFencing = Math.max(greatestFencing, order.fencing());
+        loaded.clear();
+        loaded.addAll(order.versions());
+        return true;
+      }
+    }
+
+    private static Upstream upstream(boolean checksFencing) {
+      return new Upstream(
+          "engine", UpstreamKind.ENGINE, "127.0.0.1:1", "domain-1", List.of(), 1, checksFencing);
+    }
+
+    private FencedOrders orders(LeaseCandidate candidate, Port port) {
+      return new FencedOrders(guard(candidate), port, () -> "order");
+    }
+
+    /** Guards against an order of a former holder that undoes the new holder's one. */
+    @Test
+    public void waitsOutOrdersWhereFencingIsIgnored() throws Exception {
+      Port port = new Port();
+      assertTrue(a.step(true));
+      assertEquals(orders(a, port).bring(upstream(true), TARGET), FencedOrders.Result.ORDERED);
+      port.loaded.clear();
+      assertEquals(orders(a, port).bring(upstream(false), TARGET), FencedOrders.Result.WAITING);
+      while (a.lease().get().heldFor().compareTo(FencedOrders.LONGEST_ORDER) < 0) {
+        clock.advance(TERMS.renewEvery());
+        assertTrue(a.step(true));
+      }
+      assertEquals(orders(a, port).bring(upstream(false), TARGET), FencedOrders.Result.ORDERED);
+      assertEquals(
+          orders(a, port).bring(upstream(false), TARGET), FencedOrders.Result.IN_TARGET_STATE);
+    }
+
+    /** Guards against an order that leaves after a slow reading used the validity up. */
+    @Test
+    public void checksAgainAfterTheReading() throws Exception {
+      Port port = new Port();
+      port.duringRead = () -> clock.advance(TERMS.duration());
+      assertTrue(a.step(true));
+      assertThrows(
+          LeaseNotHeldException.class, () -> orders(a, port).bring(upstream(true), TARGET));
+      assertEquals(port.loaded, Set.of("label@1"));
+    }
+
+    /** Guards against a refusal by the upstream that is taken for success. */
+    @Test
+    public void reportsRefusedFencing() throws Exception {
+      Port port = new Port();
+      port.greatestFencing = 9;
+      assertTrue(a.step(true));
+      assertEquals(orders(a, port).bring(upstream(true), TARGET), FencedOrders.Result.REFUSED);
+    }
+  }
+}
