--- a/bin/lib.sh
+++ b/bin/lib.sh
@@ -53,3 +53,29 @@
   rm -rf "$work"
   return $failed
 }
+
+# register_host NAME ROLE DOMAIN ADDRESS: adds a host to the stand-in's host list.
+register_host() {
+  curl -fsS -o /dev/null -d "{\"name\":\"$1\",\"role\":\"$2\",\"domain\":\"$3\",\"address\":\"$4\"}" \
+    "http://127.0.0.1:21801/hosts"
+}
+
+# entry_settings FILE NAME DOMAIN CALLERS OPERATORS PEERS: writes the settings of an entry host.
+# The operator is "morning"; its password is "quickstart".
+entry_settings() {
+  cat >"$1" <<EOF
+{
+  "name": "$2", "domain": "$3", "region": "pnw", "weight": 1,
+  "listeners": {"callers": "127.0.0.1:$4", "operators": "127.0.0.1:$5", "peers": "127.0.0.1:$6"},
+  "platform": {"tableService": "127.0.0.1:21801", "objectStore": "127.0.0.1:21801",
+               "hostDirectory": "127.0.0.1:21801", "ratingService": "127.0.0.1:21802"},
+  "sessionKeys": [{"id": "k1", "secret": "$session_secret"}],
+  "operators": [{"name": "morning", "passwordHash": "$operator_hash"}],
+  "drainSeconds": 20
+}
+EOF
+}
+
+# Only for stand-ins on loopback: a fixed key of session tokens and the hash of "quickstart".
+session_secret="MDEyMzQ1Njc4OWFiY2RlZjAxMjM0NTY3ODlhYmNkZWY="
+operator_hash="OPERATOR_HASH"
