Add the operators' HTTP interface

Operators need to submit documents, see what is in force and learn who won a race. The handler validates before it publishes, answers 422 with all findings and 409 with winner and difference, and shows the revision known to the host while the store is down. The submitter's name is the one that signed in, so that nobody submits for another.

--- /dev/null
+++ b/server/src/main/java/org/clementinequay/server/operator/ConfigurationDesk.java
@@ -0,0 +1,118 @@
+package org.clementinequay.server.operator;
+
+import com.google.common.flogger.FluentLogger;
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.function.BiConsumer;
+import org.clementinequay.core.config.ConfigurationDiff;
+import org.clementinequay.core.config.RouterConfiguration;
+import org.clementinequay.core.platform.PlatformException;
+import org.clementinequay.core.spread.ConfigurationPublisher;
+import org.clementinequay.core.spread.PublishResult;
+import org.clementinequay.core.spread.RevisionRecord;
+import org.clementinequay.server.document.DocumentParser;
+import org.clementinequay.server.document.ParsedDocument;
+
+/** Takes submissions and answers questions about revisions, for the API and the console. */
+public final class ConfigurationDesk {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+  private final ConfigurationPublisher publisher;
+  private final BiConsumer<RevisionRecord, String> onAccepted;
+
+  /**
+   * Creates a desk.
+   *
+   * @param onAccepted told of each accepted revision and its document, so that the host does not
+   *     wait for its next look at the head; must not block
+   */
+  public ConfigurationDesk(
+      ConfigurationPublisher publisher, BiConsumer<RevisionRecord, String> onAccepted) {
+    this.publisher = Objects.requireNonNull(publisher);
+    this.onAccepted = Objects.requireNonNull(onAccepted);
+  }
+
+  /**
+   * Validates a document and submits it.
+   *
+   * @throws PlatformException if the platform gave no answer; the submission may be repeated
+   */
+  public SubmitResult submit(Submission submission) throws PlatformException {
+    ParsedDocument parsed = DocumentParser.parse(submission.document());
+    if (parsed.configuration().isEmpty()) {
+      return new SubmitResult.Invalid(parsed.findings());
+    }
+    PublishResult result;
+    try {
+      result =
+          publisher.publish(
+              submission.baseRevision(),
+              submission.submissionId(),
+              submission.operator(),
+              submission.document());
+    } catch (IllegalArgumentException e) {
+      return new SubmitResult.UnknownBase(e.getMessage());
+    }
+    if (result instanceof PublishResult.Accepted accepted) {
+      RevisionRecord record = accepted.record();
+      logger.atInfo().log(
+          "operator %s submitted revision %d, based on %d",
+          record.operator(), record.revision(), record.baseRevision());
+      onAccepted.accept(record, submission.document());
+      return new SubmitResult.Accepted(record, parsed.findings());
+    }
+    RevisionRecord winner = ((PublishResult.Lost) result).winner();
+    return new SubmitResult.Lost(winner, changesSince(submission.baseRevision(), winner));
+  }
+
+  /** Returns the revision of the given number, or the latest one if the number is 0. */
+  public Optional<RevisionRecord> record(long revision) throws PlatformException {
+    return revision == 0 ? publisher.head() : publisher.revision(revision);
+  }
+
+  /** Returns the document of a revision. */
+  public Optional<String> document(RevisionRecord record) throws PlatformException {
+    return publisher.document(record.hash());
+  }
+
+  /** Returns the latest revisions, newest first. */
+  public List<RevisionRecord> history(int limit) throws PlatformException {
+    return publisher.history(limit);
+  }
+
+  /**
+   * Returns what changed between two revisions.
+   *
+   * @param before 0 for the empty configuration
+   * @return empty if one of the documents is not available or has errors
+   */
+  public Optional<List<ConfigurationDiff.Change>> changes(long before, long after)
+      throws PlatformException {
+    Optional<RouterConfiguration> old = configuration(before);
+    Optional<RouterConfiguration> current = configuration(after);
+    return old.isPresent() && current.isPresent()
+        ? Optional.of(ConfigurationDiff.between(old.get(), current.get()))
+        : Optional.empty();
+  }
+
+  private Optional<List<ConfigurationDiff.Change>> changesSince(long base, RevisionRecord winner) {
+    try {
+      return changes(base, winner.revision());
+    } catch (PlatformException e) {
+      // The loser must learn of the winner even when the documents cannot be read.
+      logger.atWarning().withCause(e).log("the difference to the winner cannot be computed");
+      return Optional.empty();
+    }
+  }
+
+  private Optional<RouterConfiguration> configuration(long revision) throws PlatformException {
+    if (revision == 0) {
+      return Optional.of(RouterConfiguration.builder().build());
+    }
+    Optional<RevisionRecord> record = publisher.revision(revision);
+    Optional<String> text =
+        record.isEmpty() ? Optional.empty() : publisher.document(record.get().hash());
+    return text.flatMap(t -> DocumentParser.parse(t).configuration());
+  }
+}
--- /dev/null
+++ b/server/src/main/java/org/clementinequay/server/operator/HostStatus.java
@@ -0,0 +1,61 @@
+package org.clementinequay.server.operator;
+
+import java.util.List;
+
+/**
+ * State of an entry host.
+ *
+ * @param host name of the host
+ * @param incarnation id of the process
+ * @param domain failure domain
+ * @param region region
+ * @param ready whether it takes requests
+ * @param leaving whether it is shutting down
+ * @param revision configuration revision in force there, 0 if none
+ * @param configurationAgeMillis time since the revision was last confirmed, in milliseconds
+ * @param openRequests requests in progress
+ * @param stoppedVersions versions, as {@code model@version}, that the brake stopped on this host
+ * @param peers other entry hosts that it is linked with
+ * @param upstreams upstreams of the configuration
+ */
+public record HostStatus(
+    String host,
+    String incarnation,
+    String domain,
+    String region,
+    boolean ready,
+    boolean leaving,
+    long revision,
+    long configurationAgeMillis,
+    long openRequests,
+    List<String> stoppedVersions,
+    List<PeerLine> peers,
+    List<UpstreamLine> upstreams) {
+  /** Copies the lists. */
+  public HostStatus {
+    stoppedVersions = List.copyOf(stoppedVersions);
+    peers = List.copyOf(peers);
+    upstreams = List.copyOf(upstreams);
+  }
+
+  /**
+   * A linked entry host.
+   *
+   * @param host name
+   * @param domain failure domain
+   * @param revision configuration revision in force there, 0 if none
+   * @param roundTripMicros smoothed round-trip time in microseconds
+   * @param leaving whether it is shutting down
+   */
+  public record PeerLine(
+      String host, String domain, long revision, long roundTripMicros, boolean leaving) {}
+
+  /**
+   * An upstream as this host sees it.
+   *
+   * @param name name
+   * @param state such as {@code healthy}, {@code ejected} or {@code leaving}
+   * @param inProgress requests of this host in progress there
+   */
+  public record UpstreamLine(String name, String state, long inProgress) {}
+}
--- /dev/null
+++ b/server/src/main/java/org/clementinequay/server/operator/OperatorHandler.java
@@ -0,0 +1,307 @@
+package org.clementinequay.server.operator;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.google.common.flogger.FluentLogger;
+import java.io.IOException;
+import java.io.InputStream;
+import java.nio.charset.StandardCharsets;
+import java.time.DateTimeException;
+import java.time.Instant;
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.function.Supplier;
+import org.clementinequay.core.config.RevisionedConfiguration;
+import org.clementinequay.core.platform.AnswerLostException;
+import org.clementinequay.core.platform.PlatformException;
+import org.clementinequay.core.spread.RevisionRecord;
+import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.io.Content;
+import org.eclipse.jetty.server.Handler;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.util.Callback;
+import org.eclipse.jetty.util.Fields;
+
+/**
+ * The operators' HTTP interface. Answers every path, so it comes last among the handlers of its
+ * listener. Calls to the platform block the listener's threads, which serve operators only.
+ */
+public final class OperatorHandler extends Handler.Abstract {
+  /** Longest body of a request, in bytes. */
+  public static final int MAX_BODY_BYTES = 8 << 20;
+
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+  private static final int OK = 200;
+  private static final int UNAVAILABLE = 503;
+  private static final int DEFAULT_HISTORY = 50;
+  private static final int MAX_HISTORY = 1_000;
+  private static final int MAX_SUBMISSION_ID = 128;
+  private static final String API = "/api/";
+
+  private final OperatorLogins logins;
+  private final ConfigurationDesk desk;
+  private final HostView host;
+  private final BillSource bills;
+  private final Supplier<String> metrics;
+
+  /**
+   * Creates the handler.
+   *
+   * @param metrics returns the metrics in the Prometheus text format
+   */
+  public OperatorHandler(
+      OperatorLogins logins,
+      ConfigurationDesk desk,
+      HostView host,
+      BillSource bills,
+      Supplier<String> metrics) {
+    this.logins = Objects.requireNonNull(logins);
+    this.desk = Objects.requireNonNull(desk);
+    this.host = Objects.requireNonNull(host);
+    this.bills = Objects.requireNonNull(bills);
+    this.metrics = Objects.requireNonNull(metrics);
+  }
+
+  @Override
+  public boolean handle(Request request, Response response, Callback callback) {
+    reply(request).send(response, callback);
+    return true;
+  }
+
+  private OperatorReply reply(Request request) {
+    try {
+      String path = Request.getPathInContext(request);
+      return path.startsWith(API) ? api(request, path) : open(request, path);
+    } catch (OperatorFault e) {
+      return OperatorReply.error(e.kind(), e.getMessage());
+    } catch (AnswerLostException e) {
+      logger.atWarning().log("an answer of the platform was lost: %s", e.getMessage());
+      return OperatorReply.error(
+          OperatorFault.Kind.ANSWER_LOST,
+          "the platform's answer was lost; repeat the request with the same submission id");
+    } catch (PlatformException e) {
+      logger.atWarning().log("the platform cannot be reached: %s", e.getMessage());
+      return OperatorReply.error(
+          OperatorFault.Kind.PLATFORM_UNAVAILABLE, "the platform cannot be reached");
+    } catch (IOException | RuntimeException e) {
+      logger.atSevere().withCause(e).log("a request of an operator failed");
+      return OperatorReply.error(OperatorFault.Kind.INTERNAL, "internal error; see the log");
+    }
+  }
+
+  /** Answers the paths that need no password. */
+  private OperatorReply open(Request request, String path) throws OperatorFault {
+    switch (path) {
+      case "/healthz", "/readyz", "/metrics" -> requireMethod(request, "GET");
+      default -> throw new OperatorFault(OperatorFault.Kind.NOT_FOUND, "no such path");
+    }
+    if (path.equals("/metrics")) {
+      return new OperatorReply(OK, "text/plain; version=0.0.4; charset=utf-8", metrics.get());
+    }
+    if (path.equals("/healthz")) {
+      return OperatorReply.ok(OperatorJson.object().put("status", "ok"));
+    }
+    boolean ready = host.ready();
+    return OperatorReply.json(ready ? OK : UNAVAILABLE, OperatorJson.object().put("ready", ready));
+  }
+
+  private OperatorReply api(Request request, String path)
+      throws OperatorFault, PlatformException, IOException {
+    Optional<String> operator =
+        logins.authenticate(request.getHeaders().get(HttpHeader.AUTHORIZATION));
+    if (operator.isEmpty()) {
+      throw new OperatorFault(
+          OperatorFault.Kind.UNAUTHENTICATED, "name and password of an operator are required");
+    }
+    if (path.equals("/api/configuration") && request.getMethod().equals("POST")) {
+      return submit(request, operator.get());
+    }
+    requireMethod(request, "GET");
+    Fields query = Request.extractQueryParameters(request);
+    return switch (path) {
+      case "/api/configuration" -> configuration(query);
+      case "/api/history" -> history(query);
+      case "/api/status" -> OperatorReply.ok(host.status());
+      case "/api/bill" -> bill(query);
+      default -> throw new OperatorFault(OperatorFault.Kind.NOT_FOUND, "no such path");
+    };
+  }
+
+  private OperatorReply configuration(Fields query) throws OperatorFault, PlatformException {
+    long wanted = number(query, "revision", 0, Long.MAX_VALUE, 0);
+    try {
+      Optional<RevisionRecord> record = desk.record(wanted);
+      Optional<String> text = record.isEmpty() ? Optional.empty() : desk.document(record.get());
+      if (text.isPresent()) {
+        return document(OperatorJson.revision(record.get()), text.get());
+      }
+    } catch (PlatformException e) {
+      Optional<RevisionedConfiguration> known = knownHere(wanted);
+      if (known.isEmpty()) {
+        throw e;
+      }
+      logger.atWarning().log("revision shown from memory: %s", e.getMessage());
+      return document(
+          OperatorJson.object()
+              .put("revision", known.get().revision())
+              .put("hash", known.get().hash()),
+          known.get().text());
+    }
+    throw new OperatorFault(OperatorFault.Kind.NOT_FOUND, "no such revision");
+  }
+
+  /** Returns the configuration in force on this host if it answers the question. */
+  private Optional<RevisionedConfiguration> knownHere(long wanted) {
+    return host.inForce().filter(known -> wanted == 0 || known.revision() == wanted);
+  }
+
+  private OperatorReply document(ObjectNode body, String text) {
+    long inForce = host.inForce().map(RevisionedConfiguration::revision).orElse(0L);
+    return OperatorReply.ok(body.put("in_force_here", inForce).put("document", text));
+  }
+
+  private OperatorReply history(Fields query) throws OperatorFault, PlatformException {
+    int limit = (int) number(query, "limit", 1, MAX_HISTORY, DEFAULT_HISTORY);
+    List<RevisionRecord> records = desk.history(limit);
+    ObjectNode body = OperatorJson.object();
+    records.forEach(record -> body.withArray("revisions").add(OperatorJson.revision(record)));
+    if (records.isEmpty()) {
+      body.putArray("revisions");
+    }
+    return OperatorReply.ok(body);
+  }
+
+  private OperatorReply bill(Fields query) throws OperatorFault, PlatformException {
+    String account = query.getValue("account");
+    if (account == null || account.isEmpty()) {
+      throw malformed("parameter account is missing");
+    }
+    Instant from = instant(query, "from");
+    Instant to = instant(query, "to");
+    if (!from.isBefore(to)) {
+      throw malformed("parameter from must be before parameter to");
+    }
+    return OperatorReply.ok(bills.bill(account, from, to));
+  }
+
+  private OperatorReply submit(Request request, String operator)
+      throws OperatorFault, PlatformException, IOException {
+    // Requiring JSON also keeps other sites' forms from submitting with a browser's password.
+    String type = request.getHeaders().get(HttpHeader.CONTENT_TYPE);
+    if (type == null || !type.startsWith("application/json")) {
+      throw new OperatorFault(
+          OperatorFault.Kind.UNSUPPORTED_MEDIA_TYPE, "content type must be application/json");
+    }
+    JsonNode body = body(request);
+    JsonNode named = body.path("operator");
+    if (named.isTextual() && !named.textValue().equals(operator)) {
+      throw new OperatorFault(
+          OperatorFault.Kind.OPERATOR_MISMATCH,
+          "the body names operator " + named.textValue() + " but " + operator + " signed in");
+    }
+    JsonNode base = body.path("base_revision");
+    String submissionId = body.path("submission_id").asText("");
+    if (!base.canConvertToLong() || base.longValue() < 0 || !body.path("document").isTextual()) {
+      throw malformed("base_revision (from 0) and document (text) are required");
+    }
+    if (submissionId.isBlank() || submissionId.length() > MAX_SUBMISSION_ID) {
+      throw malformed("submission_id of 1 to " + MAX_SUBMISSION_ID + " characters is required");
+    }
+    return answer(
+        desk.submit(
+            new Submission(
+                base.longValue(), submissionId, operator, body.path("document").textValue())));
+  }
+
+  private static OperatorReply answer(SubmitResult result) {
+    if (result instanceof SubmitResult.Accepted accepted) {
+      ObjectNode body = OperatorJson.revision(accepted.record());
+      body.set("warnings", OperatorJson.findings(accepted.warnings()));
+      return OperatorReply.ok(body);
+    }
+    if (result instanceof SubmitResult.Lost lost) {
+      ObjectNode details = OperatorJson.object();
+      details.set("winner", OperatorJson.revision(lost.winner()));
+      details.set("changes", lost.changes().map(OperatorJson::changes).orElse(null));
+      return OperatorReply.error(
+          OperatorFault.Kind.LOST_RACE,
+          "revision "
+              + lost.winner().revision()
+              + " of "
+              + lost.winner().operator()
+              + " is in force",
+          details);
+    }
+    if (result instanceof SubmitResult.Invalid invalid) {
+      ObjectNode details = OperatorJson.object();
+      details.set("findings", OperatorJson.findings(invalid.findings()));
+      return OperatorReply.error(
+          OperatorFault.Kind.INVALID_CONFIGURATION, "the document has errors", details);
+    }
+    return OperatorReply.error(
+        OperatorFault.Kind.MALFORMED_REQUEST, ((SubmitResult.UnknownBase) result).message());
+  }
+
+  private static JsonNode body(Request request) throws OperatorFault, IOException {
+    byte[] content;
+    try (InputStream in = Content.Source.asInputStream(request)) {
+      content = in.readNBytes(MAX_BODY_BYTES + 1);
+    }
+    if (content.length > MAX_BODY_BYTES) {
+      throw new OperatorFault(
+          OperatorFault.Kind.BODY_TOO_LARGE,
+          "the body is longer than " + MAX_BODY_BYTES + " bytes");
+    }
+    try {
+      JsonNode body = OperatorJson.MAPPER.readTree(new String(content, StandardCharsets.UTF_8));
+      if (body.isObject()) {
+        return body;
+      }
+    } catch (JsonProcessingException e) {
+      throw malformed("the body is not valid JSON: " + e.getOriginalMessage());
+    }
+    throw malformed("the body must be a JSON object");
+  }
+
+  private static void requireMethod(Request request, String method) throws OperatorFault {
+    if (!request.getMethod().equals(method)) {
+      throw new OperatorFault(OperatorFault.Kind.METHOD_NOT_ALLOWED, "use " + method);
+    }
+  }
+
+  private static long number(Fields query, String name, long least, long greatest, long missing)
+      throws OperatorFault {
+    String text = query.getValue(name);
+    if (text == null) {
+      return missing;
+    }
+    try {
+      long value = Long.parseLong(text);
+      if (value >= least && value <= greatest) {
+        return value;
+      }
+    } catch (NumberFormatException e) {
+      throw malformed("parameter " + name + " is not a whole number");
+    }
+    throw malformed("parameter " + name + " must be from " + least + " to " + greatest);
+  }
+
+  private static Instant instant(Fields query, String name) throws OperatorFault {
+    String text = query.getValue(name);
+    if (text == null) {
+      throw malformed("parameter " + name + " is missing");
+    }
+    try {
+      return Instant.parse(text);
+    } catch (DateTimeException e) {
+      throw malformed("parameter " + name + " must be a time such as 2026-12-04T12:00:00Z");
+    }
+  }
+
+  private static OperatorFault malformed(String message) {
+    return new OperatorFault(OperatorFault.Kind.MALFORMED_REQUEST, message);
+  }
+}
