--- a/server/src/main/java/org/clementinequay/server/pipeline/ChatRun.java
+++ b/server/src/main/java/org/clementinequay/server/pipeline/ChatRun.java
@@ -1,7 +1,10 @@
 package org.clementinequay.server.pipeline;
 
+import org.clementinequay.core.billing.BilledAttempt;
+import org.clementinequay.core.billing.AttemptState;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.google.common.flogger.FluentLogger;
+import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.HashSet;
 import java.util.Optional;
@@ -202,22 +205,14 @@
       accept(attempt);
       return;
     }
-    record(attempt, AttemptSummary.State.REJECTED_DRAFT);
+    record(attempt, AttemptState.REJECTED_DRAFT);
     nextStep();
     attempt();
   }
 
   private void accept(ChatAttempt attempt) {
-    record(attempt, AttemptSummary.State.ACCEPTED);
-    exchange.answer =
-        new Answer(
-            Optional.of(step().version()),
-            collects() ? attempt.text() : null,
-            attempt.finishReason(),
-            attempt.promptTokens(),
-            attempt.completionTokens(),
-            null,
-            null);
+    record(attempt, AttemptState.ACCEPTED);
+    exchange.answer = Answer.ofChat(step().version(), collects() ? attempt.text() : null, attempt);
     next.proceed();
   }
 
@@ -234,7 +229,7 @@
     if (exchange.callerGone) {
       dispatcher.abandoned(attempt.upstream, expectedTokens);
       stop(attempt);
-      record(attempt, AttemptSummary.State.CANCELLED);
+      record(attempt, AttemptState.CANCELLED);
       fail(RefusalReason.ANSWER_INCOMPLETE, "the caller closed the connection");
       return;
     }
@@ -249,7 +244,7 @@
     }
     stop(attempt);
     if (attempt.offered()) {
-      record(attempt, AttemptSummary.State.FAILED);
+      record(attempt, AttemptState.FAILED);
     }
     if (triesInStep >= MAX_ATTEMPTS_PER_STEP || !dispatcher.retries.tryRetry()) {
       skipStep(RefusalReason.UPSTREAM_FAILED, "upstreams failed to answer");
@@ -265,7 +260,7 @@
         || !dispatcher.retries.tryRetry()
         || !dispatcher.health.tryStart(attempt.upstream.name())) {
       stop(attempt);
-      record(attempt, AttemptSummary.State.FAILED);
+      record(attempt, AttemptState.FAILED);
       fail(RefusalReason.ANSWER_INCOMPLETE, "the answer broke off and could not be resumed");
       return;
     }
@@ -279,7 +274,7 @@
   }
 
   private void stop(ChatAttempt attempt) {
-    call.abandon(new java.io.IOException("attempt abandoned"));
+    call.abandon(new IOException("attempt abandoned"));
     if (attempt.offered()) {
       dispatcher.client.cancel(attempt.upstream, attempt.id);
     }
@@ -301,7 +296,7 @@
     triedUpstreams.clear();
   }
 
-  private void record(ChatAttempt attempt, AttemptSummary.State state) {
+  private void record(ChatAttempt attempt, AttemptState state) {
     offered = true;
     ModelVersion version = step().version();
     long prompt = attempt.promptTokens() > 0 ? attempt.promptTokens() : promptTokens;
@@ -314,9 +309,9 @@
             .map((VersionSpec spec) -> spec.costMicros(prompt, completion))
             .orElse(0L);
     exchange.addAttempt(
-        new AttemptSummary(
+        new BilledAttempt(
             attempt.id.number(),
-            Optional.of(version),
+            version.toString(),
             attempt.upstream.name(),
             state,
             prompt,
