--- a/server/src/main/java/org/clementinequay/server/pipeline/ChatRun.java
+++ b/server/src/main/java/org/clementinequay/server/pipeline/ChatRun.java
@@ -1,11 +1,12 @@
 package org.clementinequay.server.pipeline;
 
+import org.clementinequay.core.billing.BilledAttempt;
+import org.clementinequay.core.billing.AttemptState;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.google.common.flogger.FluentLogger;
+import java.io.IOException;
 import java.nio.ByteBuffer;
-import java.nio.charset.StandardCharsets;
 import java.util.HashSet;
-import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.OptionalLong;
@@ -73,7 +74,8 @@
       return;
     }
     ModelVersion version = step().version();
-    Optional<RefusalReason> refusal = VersionCheck.refusal(dispatcher.configuration, exchange, version);
+    Optional<RefusalReason> refusal =
+        VersionCheck.refusal(dispatcher.configuration, exchange, version);
     if (refusal.isPresent()) {
       skipStep(refusal.get(), "version " + version + " takes no new work");
       return;
@@ -203,22 +205,14 @@
       accept(attempt);
       return;
     }
-    record(attempt, AttemptSummary.State.REJECTED_DRAFT);
+    record(attempt, AttemptState.REJECTED_DRAFT);
     nextStep();
     attempt();
   }
 
   private void accept(ChatAttempt attempt) {
-    record(attempt, AttemptSummary.State.ACCEPTED);
-    exchange.answer =
-        new Answer(
-            Optional.of(step().version()),
-            collects() ? attempt.text() : null,
-            attempt.finishReason(),
-            attempt.promptTokens(),
-            attempt.completionTokens(),
-            null,
-            null);
+    record(attempt, AttemptState.ACCEPTED);
+    exchange.answer = Answer.ofChat(step().version(), collects() ? attempt.text() : null, attempt);
     next.proceed();
   }
 
@@ -230,11 +224,12 @@
   private void finishBroken(ChatAttempt attempt, Throwable cause) {
     offered |= attempt.offered();
     logger.atInfo().log(
-        "attempt %s on %s ended without its answer: %s", attempt.id, attempt.upstream.name(), cause);
+        "attempt %s on %s ended without its answer: %s",
+        attempt.id, attempt.upstream.name(), cause);
     if (exchange.callerGone) {
       dispatcher.abandoned(attempt.upstream, expectedTokens);
       stop(attempt);
-      record(attempt, AttemptSummary.State.CANCELLED);
+      record(attempt, AttemptState.CANCELLED);
       fail(RefusalReason.ANSWER_INCOMPLETE, "the caller closed the connection");
       return;
     }
@@ -249,7 +244,7 @@
     }
     stop(attempt);
     if (attempt.offered()) {
-      record(attempt, AttemptSummary.State.FAILED);
+      record(attempt, AttemptState.FAILED);
     }
     if (triesInStep >= MAX_ATTEMPTS_PER_STEP || !dispatcher.retries.tryRetry()) {
       skipStep(RefusalReason.UPSTREAM_FAILED, "upstreams failed to answer");
@@ -261,9 +256,11 @@
   /** Continues a stream of which the caller has a part; only its own engine has the rest. */
   private void resume(ChatAttempt attempt) {
     boolean may = resumptions < MAX_RESUMPTIONS && remainingMillis() > 0;
-    if (!may || !dispatcher.retries.tryRetry() || !dispatcher.health.tryStart(attempt.upstream.name())) {
+    if (!may
+        || !dispatcher.retries.tryRetry()
+        || !dispatcher.health.tryStart(attempt.upstream.name())) {
       stop(attempt);
-      record(attempt, AttemptSummary.State.FAILED);
+      record(attempt, AttemptState.FAILED);
       fail(RefusalReason.ANSWER_INCOMPLETE, "the answer broke off and could not be resumed");
       return;
     }
@@ -277,7 +274,7 @@
   }
 
   private void stop(ChatAttempt attempt) {
-    call.abandon(new java.io.IOException("attempt abandoned"));
+    call.abandon(new IOException("attempt abandoned"));
     if (attempt.offered()) {
       dispatcher.client.cancel(attempt.upstream, attempt.id);
     }
@@ -299,7 +296,7 @@
     triedUpstreams.clear();
   }
 
-  private void record(ChatAttempt attempt, AttemptSummary.State state) {
+  private void record(ChatAttempt attempt, AttemptState state) {
     offered = true;
     ModelVersion version = step().version();
     long prompt = attempt.promptTokens() > 0 ? attempt.promptTokens() : promptTokens;
@@ -312,9 +309,9 @@
             .map((VersionSpec spec) -> spec.costMicros(prompt, completion))
             .orElse(0L);
     exchange.addAttempt(
-        new AttemptSummary(
+        new BilledAttempt(
             attempt.id.number(),
-            Optional.of(version),
+            version.toString(),
             attempt.upstream.name(),
             state,
             prompt,
--- a/server/src/main/java/org/clementinequay/server/pipeline/Exchange.java
+++ b/server/src/main/java/org/clementinequay/server/pipeline/Exchange.java
@@ -1,11 +1,14 @@
 package org.clementinequay.server.pipeline;
 
+import org.clementinequay.core.billing.BilledAttempt;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.clementinequay.core.Outcome;
 import org.clementinequay.core.RequestFailedException;
 import org.clementinequay.core.RequestId;
+import org.clementinequay.core.claim.ClaimAttempt;
 import org.clementinequay.core.config.ClientAccount;
 import org.clementinequay.core.config.RequestClass;
 import org.clementinequay.core.config.Route;
@@ -29,12 +32,12 @@
   List<PlanStep> plan = List.of();
   Optional<RequestFailedException> failure = Optional.empty();
   boolean limitHeld;
-  Object claim;
+  Optional<ClaimAttempt> claim = Optional.empty();
   Answer answer;
   boolean replyStarted;
   boolean callerGone;
   long firstTokenNanos;
-  private final List<AttemptSummary> attempts = new ArrayList<>();
+  private final List<BilledAttempt> attempts = new ArrayList<>();
 
   /** Creates the state of a new request. */
   public Exchange(RequestId id, CallerRequest request, ReplySink reply, long receivedNanos) {
@@ -80,11 +83,11 @@
   }
 
   /** Returns the finished attempts in order. */
-  public List<AttemptSummary> attempts() {
+  public List<BilledAttempt> attempts() {
     return attempts;
   }
 
-  void addAttempt(AttemptSummary attempt) {
+  void addAttempt(BilledAttempt attempt) {
     attempts.add(attempt);
   }
 
@@ -93,8 +96,15 @@
     return failure.map(RequestFailedException::outcome).orElse(Outcome.RAN);
   }
 
+  /** Returns the time from receipt to the first part of a streamed answer, in nanoseconds. */
+  public OptionalLong firstTokenAfterNanos() {
+    return firstTokenNanos == 0
+        ? OptionalLong.empty()
+        : OptionalLong.of(firstTokenNanos - receivedNanos);
+  }
+
   /** Returns the price of all attempts, in millionths of the billing unit. */
   public long costMicros() {
-    return attempts.stream().mapToLong(AttemptSummary::costMicros).sum();
+    return attempts.stream().mapToLong(BilledAttempt::costMicros).sum();
   }
 }
