Wire claims, bills, peers, spread, leases and operators into the entry host

Cause: the parts existed, the host did not use them. Change: billing and control parts, bills from the table, orders to a domain's engines under a lease, tests of idempotency keys over two hosts with the store down and an answer lost.

--- a/bench/src/test/java/org/clementinequay/bench/path/Cluster.java
+++ b/bench/src/test/java/org/clementinequay/bench/path/Cluster.java
@@ -10,10 +10,14 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
+import java.util.Optional;
 import java.util.Set;
-import org.clementinequay.core.session.SessionKey;
+import org.clementinequay.core.spread.ConfigurationPublisher;
+import org.clementinequay.core.time.SystemClock;
 import org.clementinequay.server.entry.EntryHost;
-import org.clementinequay.server.entry.EntryHostOptions;
+import org.clementinequay.server.platform.HttpObjectStore;
+import org.clementinequay.server.platform.HttpTableService;
+import org.clementinequay.server.settings.Settings;
 import org.clementinequay.standins.EngineSettings;
 import org.clementinequay.standins.EngineStandIn;
 import org.clementinequay.standins.PlatformStandIn;
@@ -48,17 +52,33 @@
     cluster.large.start();
     cluster.large2.start();
     cluster.service.start();
-    cluster.publish(cluster.document("LIVE", "LIVE"));
+    cluster.publish(cluster.document("live", "live"));
     for (int i = 0; i < hostCount; i++) {
-      cluster.hosts.add(new EntryHost(cluster.options(i)));
+      cluster.hosts.add(new EntryHost(cluster.settings(i)));
     }
     for (EntryHost host : cluster.hosts) {
       host.start();
+      cluster.register(host);
     }
     cluster.awaitReady();
     return cluster;
   }
 
+  private void register(EntryHost host) throws Exception {
+    String entry =
+        String.format(
+            Locale.ROOT,
+            "{\"name\":\"%s\",\"role\":\"entry\",\"domain\":\"%s\",\"address\":\"127.0.0.1:%d\"}",
+            host.name(),
+            host.domain(),
+            host.peerPort());
+    http.send(
+        HttpRequest.newBuilder(URI.create("http://" + platform.address() + "/hosts"))
+            .POST(HttpRequest.BodyPublishers.ofString(entry))
+            .build(),
+        HttpResponse.BodyHandlers.discarding());
+  }
+
   private void awaitReady() throws InterruptedException {
     for (EntryHost host : hosts) {
       while (!host.ready()) {
@@ -67,26 +87,21 @@
     }
   }
 
-  private EntryHostOptions options(int index) {
+  private Settings settings(int index) {
     String loopback = "127.0.0.1:0";
-    return new EntryHostOptions(
+    return new Settings(
         "entry-" + index,
         index % 2 == 0 ? "pnw-a" : "pnw-b",
         "pnw",
         1,
-        loopback,
-        loopback,
-        loopback,
-        platform.address(),
-        platform.address(),
-        platform.address(),
-        rating.address(),
-        List.of(
-            new SessionKey(
-                "k1", "0123456789abcdef0123456789abcdef".getBytes(StandardCharsets.US_ASCII))),
-        Duration.ofSeconds(2),
-        Duration.ofSeconds(2),
-        Duration.ofSeconds(10));
+        new Settings.Listeners(loopback, loopback, loopback),
+        new Settings.Platform(
+            platform.address(), platform.address(), platform.address(), rating.address()),
+        List.of(new Settings.SessionSecret("k1", "MDEyMzQ1Njc4OWFiY2RlZjAxMjM0NTY3ODlhYmNkZWY=")),
+        List.of(),
+        Optional.empty(),
+        10,
+        new Settings.Timeouts(2000, 2000));
   }
 
   /** Returns the sample document with the given states of the two versions. */
@@ -99,22 +114,22 @@
           "domains": [{"name": "pnw-a", "region": "pnw"}, {"name": "pnw-b", "region": "pnw"}],
           "classes": [{"name": "sheet", "priority": 0, "deadlineMillis": 20000, "qualityTarget": 0.9}],
           "models": [
-            {"name": "label-small", "versions": [{"name": "v1", "state": "%s", "share": 0,
+            {"name": "label-small", "versions": [{"name": "v1", "state": "%s",
               "promptMicrosPerToken": 1, "completionMicrosPerToken": 2}]},
-            {"name": "label-large", "versions": [{"name": "v1", "state": "%s", "share": 0,
+            {"name": "label-large", "versions": [{"name": "v1", "state": "%s",
               "promptMicrosPerToken": 10, "completionMicrosPerToken": 20}]}],
           "cascades": [{"name": "label-auto", "models": ["label-small", "label-large"], "acceptScore": 0.5}],
           "routes": [
             {"name": "order-stamp", "idempotent": false, "timeoutMillis": 5000, "costMicros": 500},
             {"name": "lot-lookup", "idempotent": true, "timeoutMillis": 2000, "costMicros": 5}],
           "upstreams": [
-            {"name": "small-1", "kind": "ENGINE", "address": "%s", "domain": "pnw-a",
+            {"name": "small-1", "kind": "engine", "address": "%s", "domain": "pnw-a",
              "serves": ["label-small@v1"], "slots": 32, "checksFencing": true},
-            {"name": "large-1", "kind": "ENGINE", "address": "%s", "domain": "pnw-a",
+            {"name": "large-1", "kind": "engine", "address": "%s", "domain": "pnw-a",
              "serves": ["label-large@v1"], "slots": 32, "checksFencing": true},
-            {"name": "large-2", "kind": "ENGINE", "address": "%s", "domain": "pnw-b",
+            {"name": "large-2", "kind": "engine", "address": "%s", "domain": "pnw-b",
              "serves": ["label-large@v1"], "slots": 32, "checksFencing": true},
-            {"name": "stamps-1", "kind": "SERVICE", "address": "%s", "domain": "pnw-a",
+            {"name": "stamps-1", "kind": "service", "address": "%s", "domain": "pnw-a",
              "serves": ["order-stamp", "lot-lookup"], "slots": 8, "checksFencing": false}],
           "accounts": [
             {"name": "growers", "apiKeySha256": ["%s"], "models": ["label-small", "label-large"],
@@ -144,12 +159,10 @@
   void publish(String text) throws Exception {
     org.eclipse.jetty.client.HttpClient client = new org.eclipse.jetty.client.HttpClient();
     client.start();
-    new org.clementinequay.core.spread.ConfigurationPublisher(
-            new org.clementinequay.server.platform.HttpTableService(
-                client, platform.address(), Duration.ofSeconds(2)),
-            new org.clementinequay.server.platform.HttpObjectStore(
-                client, platform.address(), Duration.ofSeconds(2)),
-            new org.clementinequay.core.time.SystemClock())
+    new ConfigurationPublisher(
+            new HttpTableService(client, platform.address(), Duration.ofSeconds(2)),
+            new HttpObjectStore(client, platform.address(), Duration.ofSeconds(2)),
+            new SystemClock())
         .publish(revision, "submission-" + revision, "morning", text);
     client.stop();
     revision++;
--- a/bench/src/test/java/org/clementinequay/bench/path/WholePathTest.java
+++ b/bench/src/test/java/org/clementinequay/bench/path/WholePathTest.java
@@ -155,6 +155,85 @@
     }
   }
 
+  /** Calls that must not be repeated. */
+  public static final class IdempotencyKeys {
+    private static final String CRATE = "{\"crate\":41}";
+    private Cluster cluster;
+
+    @BeforeMethod
+    public void start() throws Exception {
+      cluster = Cluster.start(2);
+    }
+
+    @AfterMethod(alwaysRun = true)
+    public void stop() throws Exception {
+      cluster.close();
+    }
+
+    private HttpResponse<String> stamp(int host, String key, String crate) throws Exception {
+      return cluster.post(
+          host, "/v1/routes/order-stamp", crate, Cluster.KEY, "Idempotency-Key", key);
+    }
+
+    /** Guards against a doubled stamp when the caller repeats it through another host. */
+    @Test
+    public void runsOnceForOneKey() throws Exception {
+      HttpResponse<String> first = stamp(0, "stamp-41", CRATE);
+      assertEquals(first.statusCode(), 200, first.body());
+      HttpResponse<String> repeat = stamp(1, "stamp-41", CRATE);
+      for (int i = 0; i < 500 && repeat.statusCode() == 409; i++) {
+        Thread.sleep(10);
+        repeat = stamp(1, "stamp-41", CRATE);
+      }
+      assertEquals(repeat.body(), first.body());
+      assertEquals(cluster.service.runs().get(CRATE), Integer.valueOf(1));
+    }
+
+    /** Guards against a stored answer that is handed out for another body. */
+    @Test
+    public void refusesAnotherBodyUnderTheKey() throws Exception {
+      stamp(0, "stamp-42", CRATE);
+      HttpResponse<String> other = stamp(0, "stamp-42", "{\"crate\":42}");
+      assertEquals(other.statusCode(), 422, other.body());
+      assertEquals(cluster.service.runs().size(), 1);
+    }
+
+    /** Guards against a not-run answer of a call that runs later, when the store answers late. */
+    @Test
+    public void refusalWhileTheStoreIsDownIsTrue() throws Exception {
+      cluster.platform.fault("down", Integer.MAX_VALUE);
+      HttpResponse<String> refused = stamp(0, "stamp-43", CRATE);
+      assertEquals(refused.statusCode(), 503, refused.body());
+      assertEquals(refused.headers().firstValue("X-Outcome").orElse(""), "not-run");
+      HttpResponse<String> idempotent =
+          cluster.post(0, "/v1/routes/lot-lookup", "{\"lot\":7}", Cluster.KEY);
+      assertEquals(idempotent.statusCode(), 200, idempotent.body());
+      cluster.platform.fault("none", 0);
+      assertEquals(cluster.service.runs().get(CRATE), null);
+      HttpResponse<String> later = stamp(0, "stamp-43", CRATE);
+      assertEquals(later.statusCode(), 200, later.body());
+      assertEquals(cluster.service.runs().get(CRATE), Integer.valueOf(1));
+    }
+
+    /** Guards against a second run when the answer to the claim was lost after its write. */
+    @Test
+    public void lostAnswerOfTheClaimIsSettled() throws Exception {
+      cluster.platform.fault("lose", 1);
+      HttpResponse<String> response = stamp(0, "stamp-44", CRATE);
+      if (response.statusCode() != 200) {
+        assertEquals(response.headers().firstValue("X-Outcome").orElse(""), "not-run");
+        assertEquals(cluster.service.runs().get(CRATE), null);
+      }
+      HttpResponse<String> repeat = stamp(1, "stamp-44", CRATE);
+      for (int i = 0; i < 500 && repeat.statusCode() != 200; i++) {
+        Thread.sleep(20);
+        repeat = stamp(1, "stamp-44", CRATE);
+      }
+      assertEquals(repeat.statusCode(), 200, repeat.body());
+      assertEquals(cluster.service.runs().get(CRATE), Integer.valueOf(1));
+    }
+  }
+
   /** Sessions and withdrawals. */
   public static final class Sessions {
     private Cluster cluster;
@@ -193,7 +272,7 @@
       cluster.rating.quality(Cluster.SMALL, 0);
       HttpResponse<String> first = cluster.chat(0, body("label-auto", 4, false));
       String token = first.headers().firstValue("X-Session").orElseThrow();
-      cluster.publish(cluster.document("LIVE", "WITHDRAWN"));
+      cluster.publish(cluster.document("live", "withdrawn"));
       HttpResponse<String> refused = cluster.chat(1, inSession(token));
       for (int i = 0; i < 500 && refused.statusCode() == 200; i++) {
         Thread.sleep(20);
--- a/server/src/main/java/org/clementinequay/server/control/HttpOrderPort.java
+++ b/server/src/main/java/org/clementinequay/server/control/HttpOrderPort.java
@@ -5,6 +5,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.concurrent.ExecutionException;
--- /dev/null
+++ b/server/src/main/java/org/clementinequay/server/entry/BillingParts.java
@@ -0,0 +1,56 @@
+package org.clementinequay.server.entry;
+
+import org.clementinequay.core.Incarnation;
+import org.clementinequay.core.billing.BillLedger;
+import org.clementinequay.core.billing.BillStore;
+import org.clementinequay.core.billing.HeldCopies;
+import org.clementinequay.core.time.RuntimeClock;
+import org.clementinequay.server.billing.BillHolder;
+import org.clementinequay.server.billing.BillReplicator;
+import org.clementinequay.server.billing.BillSealer;
+import org.clementinequay.server.billing.BillingMetrics;
+import org.clementinequay.server.billing.HolderChoice;
+import org.clementinequay.server.peer.PeerNetwork;
+import org.clementinequay.server.settings.Settings;
+
+/** The billing of this host: its own records, the copies it holds for others, and their sealing. */
+final class BillingParts implements AutoCloseable {
+  final BillLedger ledger;
+  final BillReplicator replicator;
+  private final BillSealer sealer;
+
+  BillingParts(
+      Settings settings,
+      Incarnation self,
+      RuntimeClock clock,
+      PlatformClients platform,
+      PeerNetwork peers,
+      BillingMetrics metrics) {
+    ledger = new BillLedger(self);
+    HolderChoice choice = new HolderChoice(self, settings.domain(), settings.region());
+    replicator = new BillReplicator(ledger, peers, choice, clock, metrics);
+    HeldCopies copies = new HeldCopies(self);
+    sealer =
+        BillSealer.builder()
+            .ledger(ledger)
+            .copies(copies)
+            .holder(new BillHolder(copies, peers, clock))
+            .store(new BillStore(platform.table, platform.objects))
+            .replicator(replicator)
+            .clock(clock)
+            .metrics(metrics)
+            .build();
+  }
+
+  void start() {
+    replicator.start();
+    sealer.start();
+  }
+
+  /** Seals what is left, then stops copying; the last request must have ended. */
+  @Override
+  public void close() {
+    sealer.close();
+    replicator.close();
+  }
+}
--- a/server/src/main/java/org/clementinequay/server/entry/ConfigurationState.java
+++ b/server/src/main/java/org/clementinequay/server/entry/ConfigurationState.java
@@ -1,10 +1,12 @@
 package org.clementinequay.server.entry;
 
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import org.clementinequay.core.ModelVersion;
 import org.clementinequay.core.config.RevisionedConfiguration;
+import org.clementinequay.core.config.Upstream;
 import org.clementinequay.core.config.VersionSpec;
 import org.clementinequay.core.config.VersionState;
 import org.clementinequay.core.spread.RevisionKeeper;
@@ -41,6 +43,12 @@
     return Set.copyOf(stopped);
   }
 
+  /** Returns the upstreams of the configuration in force; none before the first one. */
+  List<Upstream> upstreams() {
+    ActiveConfiguration current = active;
+    return current == null ? List.of() : current.document().upstreams();
+  }
+
   @Override
   public Optional<ActiveConfiguration> current() {
     return Optional.ofNullable(active);
--- a/server/src/main/java/org/clementinequay/server/entry/EntryHost.java
+++ b/server/src/main/java/org/clementinequay/server/entry/EntryHost.java
@@ -6,21 +6,22 @@
 import java.time.Duration;
 import java.util.Optional;
 import java.util.SplittableRandom;
-import java.util.concurrent.TimeUnit;
-import java.util.random.RandomGenerator;
 import org.clementinequay.core.Incarnation;
+import org.clementinequay.core.config.RevisionedConfiguration;
 import org.clementinequay.core.config.RouterConfiguration;
-import org.clementinequay.core.platform.PlatformException;
 import org.clementinequay.core.spread.ConfigurationPublisher;
 import org.clementinequay.core.spread.ConfigurationReader;
 import org.clementinequay.core.spread.RevisionKeeper;
+import org.clementinequay.core.spread.RevisionRecord;
 import org.clementinequay.core.time.RuntimeClock;
 import org.clementinequay.core.time.SystemClock;
+import org.clementinequay.server.billing.BillingMetrics;
 import org.clementinequay.server.document.DocumentParser;
 import org.clementinequay.server.metrics.RouterMetrics;
 import org.clementinequay.server.operator.ConfigurationDesk;
 import org.clementinequay.server.operator.OperatorHandler;
 import org.clementinequay.server.operator.OperatorLogins;
+import org.clementinequay.server.peer.ConfigurationDuty;
 import org.clementinequay.server.peer.HeartbeatContent;
 import org.clementinequay.server.peer.PeerIdentity;
 import org.clementinequay.server.peer.RevisionSpread;
@@ -40,18 +41,19 @@
 
   private final Settings settings;
   private final RuntimeClock clock = new SystemClock();
-  private final RandomGenerator random = new SplittableRandom();
   private final Incarnation incarnation = Incarnation.random(new SecureRandom());
   private final RouterMetrics metrics = new RouterMetrics();
   private final PlatformClients platform;
   private final TcpPeerNetwork peers;
+  private final RevisionSpread spread;
   private final RevisionKeeper keeper;
   private final ConfigurationState configuration;
-  private final ConfigurationReader reader;
+  private final ConfigurationDuty configurationDuty;
+  private final BillingParts billing;
+  private final ControlParts control;
   private final RequestPath path;
   private final Server callers;
   private final Server operators;
-  private final Thread refresher = new Thread(this::refresh, "configuration-reader");
   private volatile boolean leaving;
 
   /**
@@ -63,17 +65,23 @@
     this.settings = settings;
     this.platform = new PlatformClients(settings);
     this.peers = network();
-    RevisionSpread spread = new RevisionSpread(peers, EntryHost::parse);
-    this.keeper = new RevisionKeeper(spread::announce);
-    spread.attach(keeper);
+    this.spread = new RevisionSpread(peers, EntryHost::parse, clock);
+    this.keeper = spread.keeper();
     this.configuration = new ConfigurationState(keeper, clock);
     ConfigurationPublisher publisher =
         new ConfigurationPublisher(platform.table, platform.objects, clock);
-    this.reader =
-        new ConfigurationReader(publisher, keeper, EntryHost::parse, spread::askPeers, clock);
+    this.configurationDuty =
+        new ConfigurationDuty(
+            new ConfigurationReader(publisher, keeper, EntryHost::parse, spread::askPeers, clock),
+            clock,
+            new SplittableRandom());
+    this.billing =
+        new BillingParts(settings, incarnation, clock, platform, peers, billingMetrics());
     this.path =
         new RequestPath(
-            settings, incarnation, clock, platform, configuration, peers, metrics);
+            settings, incarnation, clock, platform, configuration, peers, billing, metrics);
+    this.control =
+        new ControlParts(settings, incarnation, clock, platform, peers, configuration::upstreams);
     peers.addListener(
         new PeerEvents(
             peers, path, configuration, incarnation, settings.weight(), settings.domain()));
@@ -88,11 +96,7 @@
   private TcpPeerNetwork network() throws IOException {
     PeerIdentity identity =
         new PeerIdentity(
-            incarnation,
-            settings.name(),
-            settings.domain(),
-            settings.region(),
-            settings.weight());
+            incarnation, settings.name(), settings.domain(), settings.region(), settings.weight());
     return TcpPeerNetwork.builder(identity)
         .listen(HttpParts.parse(settings.listeners().peers()))
         .directory(platform.directory)
@@ -102,10 +106,9 @@
   }
 
   private OperatorHandler operators(ConfigurationPublisher publisher) {
-    ConfigurationDesk desk =
-        new ConfigurationDesk(publisher, (accepted, text) -> refresher.interrupt());
+    ConfigurationDesk desk = new ConfigurationDesk(publisher, this::accepted);
     return new OperatorHandler(
-        new OperatorLogins(settings.operators()),
+        new OperatorLogins(settings.operators(), new SecureRandom()),
         desk,
         new EntryView(this),
         new TableBills(platform),
@@ -121,6 +124,10 @@
         () -> Runtime.getRuntime().totalMemory() - Runtime.getRuntime().freeMemory());
   }
 
+  private BillingMetrics billingMetrics() {
+    return new BillingMetrics() {};
+  }
+
   private HeartbeatContent heartbeat() {
     long open = path.handler.openRequests();
     return new HeartbeatContent(keeper.revision(), leaving, open, open / settings.weight());
@@ -131,8 +138,10 @@
     platform.start();
     path.start();
     peers.start();
-    refresher.setDaemon(true);
-    refresher.start();
+    spread.start();
+    billing.start();
+    configurationDuty.start();
+    control.start();
     callers.start();
     operators.start();
     logger.atInfo().log(
@@ -140,6 +149,16 @@
         settings.name(), incarnation, callerPort(), operatorPort());
   }
 
+  /** Returns the name of the host. */
+  public String name() {
+    return settings.name();
+  }
+
+  /** Returns the failure domain of the host. */
+  public String domain() {
+    return settings.domain();
+  }
+
   /** Returns the port of the callers' listener. */
   public int callerPort() {
     return HttpParts.port(callers);
@@ -192,28 +211,17 @@
     return clock;
   }
 
-  private static Optional<RouterConfiguration> parse(
-      String text) {
+  private static Optional<RouterConfiguration> parse(String text) {
     return DocumentParser.parse(text).configuration();
   }
 
-  /** An interrupt only ends the pause early, after a submission on this host. */
-  private void refresh() {
-    while (!leaving) {
-      try {
-        reader.step();
-      } catch (PlatformException e) {
-        logger.atWarning().atMostEvery(10, TimeUnit.SECONDS).log(
-            "configuration cannot be read: %s", e.getMessage());
-      } catch (RuntimeException e) {
-        logger.atSevere().withCause(e).log("configuration reader failed");
-      }
-      try {
-        clock.sleep(ConfigurationReader.pause(random));
-      } catch (InterruptedException e) {
-        logger.atFine().log("reading the configuration at once");
-      }
-    }
+  /** Puts a revision in force that an operator submitted here, without waiting for its reader. */
+  private void accepted(RevisionRecord record, String text) {
+    parse(text)
+        .ifPresent(
+            parsed ->
+                keeper.offer(
+                    new RevisionedConfiguration(record.revision(), record.hash(), text, parsed)));
   }
 
   /**
@@ -234,8 +242,11 @@
       logger.atSevere().log("shutdown cuts %d requests after the drain timeout", cut);
     }
     callers.stop();
-    refresher.interrupt();
+    control.close();
+    configurationDuty.close();
     path.close();
+    billing.close();
+    spread.close();
     peers.close();
     operators.stop();
     platform.close();
--- a/server/src/main/java/org/clementinequay/server/entry/EntryView.java
+++ b/server/src/main/java/org/clementinequay/server/entry/EntryView.java
@@ -60,8 +60,7 @@
   }
 
   private List<HostStatus.UpstreamLine> upstreams() {
-    return host.configuration().current().stream()
-        .flatMap(active -> active.document().upstreams().stream())
+    return host.configuration().upstreams().stream()
         .map(
             upstream ->
                 new HostStatus.UpstreamLine(
--- a/server/src/main/java/org/clementinequay/server/entry/RequestPath.java
+++ b/server/src/main/java/org/clementinequay/server/entry/RequestPath.java
@@ -6,7 +6,6 @@
 import java.util.SplittableRandom;
 import org.clementinequay.core.Incarnation;
 import org.clementinequay.core.claim.ClaimService;
-import org.clementinequay.core.config.Upstream;
 import org.clementinequay.core.dispatch.UpstreamTable;
 import org.clementinequay.core.limit.AccountLimiter;
 import org.clementinequay.core.placement.TwoChoicesPolicy;
@@ -19,8 +18,8 @@
 import org.clementinequay.server.metrics.RouterMetrics;
 import org.clementinequay.server.peer.PeerMessage;
 import org.clementinequay.server.peer.PeerNetwork;
-import org.clementinequay.server.pipeline.ActiveConfiguration;
 import org.clementinequay.server.pipeline.AdmitFilter;
+import org.clementinequay.server.pipeline.BillFilter;
 import org.clementinequay.server.pipeline.ChatReply;
 import org.clementinequay.server.pipeline.ClaimFilter;
 import org.clementinequay.server.pipeline.ClaimSettlementFilter;
@@ -59,6 +58,7 @@
       PlatformClients platform,
       ConfigurationState configuration,
       PeerNetwork peers,
+      BillingParts billing,
       RouterMetrics metrics) {
     this.clock = clock;
     this.peers = peers;
@@ -82,15 +82,14 @@
                 new PlanFilter(configuration, new SplittableRandom()),
                 new RunFilter(dispatcher, replies),
                 new ClaimSettlementFilter(claims),
+                new BillFilter(billing.replicator, clock),
                 new ReplyFilter(
-                    replies,
-                    limiter,
-                    exchange -> metrics.finished(exchange, clock.nanoTime()))));
+                    replies, limiter, exchange -> metrics.finished(exchange, clock.nanoTime()))));
     this.handler = new CallerHandler(pipeline, incarnation, clock);
     this.loadReports =
         new Thread(
             new LoadReportReader(
-                http, () -> upstreams(configuration), health, tracker, clock, this::announce),
+                http, configuration::upstreams, health, tracker, clock, this::announce),
             "load-report-reader");
     loadReports.setDaemon(true);
   }
@@ -115,12 +114,6 @@
         .toList();
   }
 
-  private static List<Upstream> upstreams(ConfigurationState configuration) {
-    return configuration.current().map(ActiveConfiguration::document).stream()
-        .flatMap(document -> document.upstreams().stream())
-        .toList();
-  }
-
   private void announce(String upstream, boolean leaving) {
     broadcast(upstream, leaving ? UpstreamState.LEAVING : UpstreamState.STAYING);
   }
