Spread configuration revisions between entry hosts

Hosts that are cut off from the platform must learn of revisions from peers. A document request now names the least revision wanted instead of a hash, because a heartbeat carries no hash. Ruled out: pushing documents to all, which sends each one dozens of times.

--- a/server/src/main/java/org/clementinequay/server/peer/PeerMessage.java
+++ b/server/src/main/java/org/clementinequay/server/peer/PeerMessage.java
@@ -40,8 +40,8 @@
   /** The sender knows of this configuration revision. */
   record RevisionAnnounced(long revision, String hash) implements PeerMessage {}
 
-  /** Asks for a configuration document. */
-  record DocumentRequest(String hash) implements PeerMessage {}
+  /** Asks for the document in force at the receiver if it has at least this revision. */
+  record DocumentRequest(long revision) implements PeerMessage {}
 
   /** A configuration document; the receiver checks the hash. */
   record DocumentReply(long revision, String hash, String text) implements PeerMessage {}
