Let operator logins draw their own key

The entry host wires the logins from its settings alone and has no use for a random source of its own. The constructor now draws the key of the remembered digests itself.

--- a/server/src/main/java/org/clementinequay/server/entry/EntryHost.java
+++ b/server/src/main/java/org/clementinequay/server/entry/EntryHost.java
@@ -72,8 +72,7 @@
     this.reader =
         new ConfigurationReader(publisher, keeper, EntryHost::parse, spread::askPeers, clock);
     this.path =
-        new RequestPath(
-            settings, incarnation, clock, platform, configuration, peers, metrics);
+        new RequestPath(settings, incarnation, clock, platform, configuration, peers, metrics);
     peers.addListener(
         new PeerEvents(
             peers, path, configuration, incarnation, settings.weight(), settings.domain()));
@@ -88,11 +87,7 @@
   private TcpPeerNetwork network() throws IOException {
     PeerIdentity identity =
         new PeerIdentity(
-            incarnation,
-            settings.name(),
-            settings.domain(),
-            settings.region(),
-            settings.weight());
+            incarnation, settings.name(), settings.domain(), settings.region(), settings.weight());
     return TcpPeerNetwork.builder(identity)
         .listen(HttpParts.parse(settings.listeners().peers()))
         .directory(platform.directory)
@@ -192,8 +187,7 @@
     return clock;
   }
 
-  private static Optional<RouterConfiguration> parse(
-      String text) {
+  private static Optional<RouterConfiguration> parse(String text) {
     return DocumentParser.parse(text).configuration();
   }
 
--- a/server/src/main/java/org/clementinequay/server/entry/RequestPath.java
+++ b/server/src/main/java/org/clementinequay/server/entry/RequestPath.java
@@ -83,9 +83,7 @@
                 new RunFilter(dispatcher, replies),
                 new ClaimSettlementFilter(claims),
                 new ReplyFilter(
-                    replies,
-                    limiter,
-                    exchange -> metrics.finished(exchange, clock.nanoTime()))));
+                    replies, limiter, exchange -> metrics.finished(exchange, clock.nanoTime()))));
     this.handler = new CallerHandler(pipeline, incarnation, clock);
     this.loadReports =
         new Thread(
--- a/server/src/main/java/org/clementinequay/server/operator/OperatorLogins.java
+++ b/server/src/main/java/org/clementinequay/server/operator/OperatorLogins.java
@@ -40,8 +40,9 @@
   private final Cache<String, Boolean> remembered =
       Caffeine.newBuilder().expireAfterWrite(REMEMBER).maximumSize(MAX_REMEMBERED).build();
 
-  /** Creates the logins of the settings. */
-  public OperatorLogins(List<Settings.OperatorLogin> operators, SecureRandom random) {
+  /** Creates the logins of checked settings. */
+  public OperatorLogins(List<Settings.OperatorLogin> operators) {
+    SecureRandom random = new SecureRandom();
     byte[] keyBytes = new byte[KEY_BYTES];
     random.nextBytes(keyBytes);
     key = new SecretKeySpec(keyBytes, "HmacSHA256");
--- a/server/src/main/java/org/clementinequay/server/pipeline/ChatRun.java
+++ b/server/src/main/java/org/clementinequay/server/pipeline/ChatRun.java
@@ -1,7 +1,5 @@
 package org.clementinequay.server.pipeline;
 
-import org.clementinequay.core.billing.BilledAttempt;
-import org.clementinequay.core.billing.AttemptState;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.google.common.flogger.FluentLogger;
 import java.io.IOException;
@@ -15,6 +13,8 @@
 import org.clementinequay.core.ModelVersion;
 import org.clementinequay.core.RefusalReason;
 import org.clementinequay.core.RequestFailedException;
+import org.clementinequay.core.billing.AttemptState;
+import org.clementinequay.core.billing.BilledAttempt;
 import org.clementinequay.core.config.Upstream;
 import org.clementinequay.core.config.VersionSpec;
 import org.clementinequay.core.placement.PlacementRequest;
--- a/server/src/main/java/org/clementinequay/server/pipeline/Exchange.java
+++ b/server/src/main/java/org/clementinequay/server/pipeline/Exchange.java
@@ -1,6 +1,5 @@
 package org.clementinequay.server.pipeline;
 
-import org.clementinequay.core.billing.BilledAttempt;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -8,6 +7,7 @@
 import org.clementinequay.core.Outcome;
 import org.clementinequay.core.RequestFailedException;
 import org.clementinequay.core.RequestId;
+import org.clementinequay.core.billing.BilledAttempt;
 import org.clementinequay.core.claim.ClaimAttempt;
 import org.clementinequay.core.config.ClientAccount;
 import org.clementinequay.core.config.RequestClass;
--- a/server/src/main/java/org/clementinequay/server/pipeline/RouteRun.java
+++ b/server/src/main/java/org/clementinequay/server/pipeline/RouteRun.java
@@ -1,7 +1,5 @@
 package org.clementinequay.server.pipeline;
 
-import org.clementinequay.core.billing.BilledAttempt;
-import org.clementinequay.core.billing.AttemptState;
 import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
 import java.util.HashSet;
@@ -11,6 +9,8 @@
 import org.clementinequay.core.AttemptId;
 import org.clementinequay.core.RefusalReason;
 import org.clementinequay.core.RequestFailedException;
+import org.clementinequay.core.billing.AttemptState;
+import org.clementinequay.core.billing.BilledAttempt;
 import org.clementinequay.core.config.Upstream;
 import org.clementinequay.core.placement.PlacementRequest;
 import org.clementinequay.server.upstream.UpstreamListener;
@@ -103,7 +103,13 @@
     offered = true;
     exchange.addAttempt(
         new BilledAttempt(
-            call.id.number(), exchange.route.name(), call.upstream.name(), state, 0, 0, costMicros));
+            call.id.number(),
+            exchange.route.name(),
+            call.upstream.name(),
+            state,
+            0,
+            0,
+            costMicros));
   }
 
   private void fail(RefusalReason reason, String message) {
--- a/server/src/test/java/org/clementinequay/server/operator/OperatorServer.java
+++ b/server/src/test/java/org/clementinequay/server/operator/OperatorServer.java
@@ -72,8 +72,7 @@
     logins =
         new OperatorLogins(
             List.of(
-                new Settings.OperatorLogin("asha", hash), new Settings.OperatorLogin("ben", hash)),
-            new SecureRandom());
+                new Settings.OperatorLogin("asha", hash), new Settings.OperatorLogin("ben", hash)));
     connector.setHost("127.0.0.1");
     server.addConnector(connector);
     server.setHandler(handler());
