--- a/server/src/main/java/org/clementinequay/server/entry/EntryHost.java
+++ b/server/src/main/java/org/clementinequay/server/entry/EntryHost.java
@@ -108,7 +108,7 @@
   private OperatorHandler operators(ConfigurationPublisher publisher) {
     ConfigurationDesk desk = new ConfigurationDesk(publisher, this::accepted);
     return new OperatorHandler(
-        new OperatorLogins(settings.operators(), new SecureRandom()),
+        new OperatorLogins(settings.operators()),
         desk,
         new EntryView(this),
         new TableBills(platform),
