Soak claims of idempotency keys with killed and paused hosts

Cause: claims had no randomised run. Several hosts use the same keys while hosts are killed, paused and cut off and the store refuses, loses and delays writes. Checked: one execution per key, no execution after not-run, answers belong to their key, refused claims free their keys.

--- a/bench/src/main/java/org/clementinequay/bench/soak/Mutant.java
+++ b/bench/src/main/java/org/clementinequay/bench/soak/Mutant.java
@@ -7,7 +7,17 @@
   /** The head row is written without regard to its version. */
   HEAD_WITHOUT_COMPARE(Scenario.CONFIGURATION, "R10, R14"),
   /** A commit whose answer was lost counts as refused. */
-  LOST_PUBLISH_AS_REFUSED(Scenario.CONFIGURATION, "R12, R28");
+  LOST_PUBLISH_AS_REFUSED(Scenario.CONFIGURATION, "R12, R28"),
+  /** A claim is written whether or not the key is taken. */
+  CLAIM_WITHOUT_INSERT_IF_ABSENT(Scenario.CLAIMS, "R7, R12"),
+  /** A claim whose answer was lost counts as not written. */
+  LOST_CLAIM_AS_NOT_WRITTEN(Scenario.CLAIMS, "R12, R28"),
+  /** Rows of claims that were given up stay. */
+  ABANDONED_CLAIM_KEPT(Scenario.CLAIMS, "R12"),
+  /** The deadline answers not-run without giving the claim up. */
+  REFUSED_CLAIM_STILL_SENT(Scenario.CLAIMS, "R6, R12"),
+  /** A claim that was sent and got no answer is freed. */
+  SENT_CLAIM_RELEASED(Scenario.CLAIMS, "R7, R12");
 
   private final Scenario scenario;
   private final String requirements;
--- a/server/src/main/java/org/clementinequay/server/caller/CallerRequestParser.java
+++ b/server/src/main/java/org/clementinequay/server/caller/CallerRequestParser.java
@@ -29,8 +29,7 @@
 
   private final ObjectMapper json = new ObjectMapper();
 
-  CallerRequest parse(String path, HttpFields headers, byte[] body)
-      throws RequestFailedException {
+  CallerRequest parse(String path, HttpFields headers, byte[] body) throws RequestFailedException {
     String apiKey = apiKeyDigest(headers.get("Authorization"));
     Optional<String> idempotencyKey = idempotencyKey(headers.get("Idempotency-Key"));
     return path.equals(CHAT_PATH)
@@ -69,11 +68,7 @@
   }
 
   private CallerRequest route(
-      String route,
-      String apiKey,
-      Optional<String> idempotencyKey,
-      HttpFields headers,
-      byte[] body)
+      String route, String apiKey, Optional<String> idempotencyKey, HttpFields headers, byte[] body)
       throws RequestFailedException {
     String requestClass = headers.get("X-Request-Class");
     String deadline = headers.get("X-Deadline-Ms");
--- a/server/src/main/java/org/clementinequay/server/pipeline/AdmitFilter.java
+++ b/server/src/main/java/org/clementinequay/server/pipeline/AdmitFilter.java
@@ -79,7 +79,8 @@
       return;
     }
     boolean known =
-        active.document().cascade(target).isPresent() || active.document().model(target).isPresent();
+        active.document().cascade(target).isPresent()
+            || active.document().model(target).isPresent();
     if (!known) {
       throw refused(RefusalReason.UNKNOWN_MODEL, "unknown model or cascade " + target);
     }
@@ -89,8 +90,7 @@
   }
 
   private void limit(ClientAccount account, Exchange exchange) throws RequestFailedException {
-    Admission admission =
-        limiter.tryAcquire(account.name(), account.limits(), clock.nanoTime());
+    Admission admission = limiter.tryAcquire(account.name(), account.limits(), clock.nanoTime());
     if (!admission.admitted()) {
       Duration retryAfter = admission.retryAfter();
       throw RequestFailedException.notRun(
--- a/server/src/main/java/org/clementinequay/server/pipeline/ChatAttempt.java
+++ b/server/src/main/java/org/clementinequay/server/pipeline/ChatAttempt.java
@@ -52,8 +52,7 @@
   private String finishReason = "stop";
   private IOException malformed;
 
-  ChatAttempt(
-      AttemptId id, Upstream upstream, Owner owner, boolean collects, long firstSequence) {
+  ChatAttempt(AttemptId id, Upstream upstream, Owner owner, boolean collects, long firstSequence) {
     this.id = id;
     this.upstream = upstream;
     this.owner = owner;
--- a/server/src/main/java/org/clementinequay/server/pipeline/ChatReply.java
+++ b/server/src/main/java/org/clementinequay/server/pipeline/ChatReply.java
@@ -103,23 +103,31 @@
 
   /** Ends a request that failed. */
   void fail(Exchange exchange) {
-    exchange.failure().ifPresent(failure -> {
-      ObjectNode error = ErrorBody.of(failure, exchange.id());
-      if (exchange.callerGone) {
-        exchange.reply().abort(failure);
-      } else if (exchange.replyStarted) {
-        // The end marker is left out, so that the stream cannot be taken for a whole answer.
-        exchange.reply().end(utf8("event: error\ndata: " + error + "\n\n"));
-      } else {
-        Map<String, String> headers = headers(exchange, exchange.attempts().size());
-        headers.put("Content-Type", "application/json");
-        headers.put("X-Outcome", failure.outcome().label());
-        failure.retryAfter().ifPresent(
-            after -> headers.put("Retry-After", Long.toString(Math.max(1, after.toSeconds()))));
-        exchange.reply().begin(failure.reason().httpStatus(), headers);
-        exchange.reply().end(utf8(error.toString()));
-      }
-    });
+    exchange
+        .failure()
+        .ifPresent(
+            failure -> {
+              ObjectNode error = ErrorBody.of(failure, exchange.id());
+              if (exchange.callerGone) {
+                exchange.reply().abort(failure);
+              } else if (exchange.replyStarted) {
+                // The end marker is left out, so that the stream cannot be taken for a whole
+                // answer.
+                exchange.reply().end(utf8("event: error\ndata: " + error + "\n\n"));
+              } else {
+                Map<String, String> headers = headers(exchange, exchange.attempts().size());
+                headers.put("Content-Type", "application/json");
+                headers.put("X-Outcome", failure.outcome().label());
+                failure
+                    .retryAfter()
+                    .ifPresent(
+                        after ->
+                            headers.put(
+                                "Retry-After", Long.toString(Math.max(1, after.toSeconds()))));
+                exchange.reply().begin(failure.reason().httpStatus(), headers);
+                exchange.reply().end(utf8(error.toString()));
+              }
+            });
   }
 
   private static Map<String, String> headers(Exchange exchange, int attempts) {
@@ -155,8 +163,7 @@
 
   private String session(Exchange exchange, ModelVersion version) {
     return tokens.sign(
-        new SessionBinding(
-            exchange.account().name(), version, clock.now().plus(SESSION_LIFE)));
+        new SessionBinding(exchange.account().name(), version, clock.now().plus(SESSION_LIFE)));
   }
 
   private static ByteBuffer utf8(String text) {
--- a/server/src/main/java/org/clementinequay/server/pipeline/ChatRun.java
+++ b/server/src/main/java/org/clementinequay/server/pipeline/ChatRun.java
@@ -3,9 +3,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.google.common.flogger.FluentLogger;
 import java.nio.ByteBuffer;
-import java.nio.charset.StandardCharsets;
 import java.util.HashSet;
-import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.OptionalLong;
@@ -73,7 +71,8 @@
       return;
     }
     ModelVersion version = step().version();
-    Optional<RefusalReason> refusal = VersionCheck.refusal(dispatcher.configuration, exchange, version);
+    Optional<RefusalReason> refusal =
+        VersionCheck.refusal(dispatcher.configuration, exchange, version);
     if (refusal.isPresent()) {
       skipStep(refusal.get(), "version " + version + " takes no new work");
       return;
@@ -230,7 +229,8 @@
   private void finishBroken(ChatAttempt attempt, Throwable cause) {
     offered |= attempt.offered();
     logger.atInfo().log(
-        "attempt %s on %s ended without its answer: %s", attempt.id, attempt.upstream.name(), cause);
+        "attempt %s on %s ended without its answer: %s",
+        attempt.id, attempt.upstream.name(), cause);
     if (exchange.callerGone) {
       dispatcher.abandoned(attempt.upstream, expectedTokens);
       stop(attempt);
@@ -261,7 +261,9 @@
   /** Continues a stream of which the caller has a part; only its own engine has the rest. */
   private void resume(ChatAttempt attempt) {
     boolean may = resumptions < MAX_RESUMPTIONS && remainingMillis() > 0;
-    if (!may || !dispatcher.retries.tryRetry() || !dispatcher.health.tryStart(attempt.upstream.name())) {
+    if (!may
+        || !dispatcher.retries.tryRetry()
+        || !dispatcher.health.tryStart(attempt.upstream.name())) {
       stop(attempt);
       record(attempt, AttemptSummary.State.FAILED);
       fail(RefusalReason.ANSWER_INCOMPLETE, "the answer broke off and could not be resumed");
--- a/server/src/main/java/org/clementinequay/server/pipeline/Dispatcher.java
+++ b/server/src/main/java/org/clementinequay/server/pipeline/Dispatcher.java
@@ -59,8 +59,7 @@
       List<UpstreamView> views = new ArrayList<>();
       for (Upstream upstream : candidates) {
         views.add(
-            tracker.view(
-                upstream.name(), upstream.domain(), upstream.slots(), request.nowNanos()));
+            tracker.view(upstream.name(), upstream.domain(), upstream.slots(), request.nowNanos()));
       }
       Optional<Placement> chosen = placement.choose(request, views);
       if (chosen.isEmpty()) {
