Soak leases and orders with clocks that differ

Cause: leases had no randomised run with pauses, restarts, clock rates that differ and wall clocks that jump. Four processes compete and send orders to an upstream that checks fencing numbers and one that ignores them; checked are single valid holders, the order of fencing numbers and the final state.

--- a/bench/src/main/java/org/clementinequay/bench/soak/Mutant.java
+++ b/bench/src/main/java/org/clementinequay/bench/soak/Mutant.java
@@ -17,7 +17,21 @@
   /** The deadline answers not-run without giving the claim up. */
   REFUSED_CLAIM_STILL_SENT(Scenario.CLAIMS, "R6, R12"),
   /** A claim that was sent and got no answer is freed. */
-  SENT_CLAIM_RELEASED(Scenario.CLAIMS, "R7, R12");
+  SENT_CLAIM_RELEASED(Scenario.CLAIMS, "R7, R12"),
+  /** A lease is written whether or not its row changed. */
+  LEASE_WITHOUT_COMPARE(Scenario.LEASES, "R28"),
+  /** A candidate takes over as soon as the duration is over on its own clock. */
+  TAKE_OVER_WITHOUT_MARGIN(Scenario.LEASES, "R28"),
+  /** Orders are sent to the last moment of the validity. */
+  GUARD_WITHOUT_MARGIN(Scenario.LEASES, "R28"),
+  /** The validity of a lease is measured by the wall clock. */
+  LEASE_ON_WALL_CLOCK(Scenario.LEASES, "R28"),
+  /** Orders carry a number that no upstream takes for old. */
+  ORDERS_WITHOUT_FENCING(Scenario.LEASES, "R24, R28"),
+  /** A new holder does not wait for the orders of the former one. */
+  NO_WAIT_FOR_FORMER_ORDERS(Scenario.LEASES, "R24, R28"),
+  /** A holder trusts its own orders and does not read the state of the upstream. */
+  NO_READ_BACK_OF_STATE(Scenario.LEASES, "R24, R28");
 
   private final Scenario scenario;
   private final String requirements;
--- a/bench/src/main/java/org/clementinequay/bench/soak/Scenario.java
+++ b/bench/src/main/java/org/clementinequay/bench/soak/Scenario.java
@@ -21,6 +21,13 @@
     void execute(SoakRun run) throws Exception {
       new ClaimScenario(run).execute();
     }
+  },
+  /** Processes whose clocks differ compete for a lease and send orders to upstreams under it. */
+  LEASES(Duration.ofSeconds(200), Duration.ofSeconds(60)) {
+    @Override
+    void execute(SoakRun run) throws Exception {
+      new LeaseScenario(run).execute();
+    }
   };
 
   private final Duration faults;
--- a/bench/src/main/java/org/clementinequay/bench/soak/VirtualScheduler.java
+++ b/bench/src/main/java/org/clementinequay/bench/soak/VirtualScheduler.java
@@ -93,6 +93,8 @@
     private boolean paused;
     private boolean killed;
     private boolean partitioned;
+    private int pauses;
+    private double clockRate = 1;
     private Duration wallOffset = Duration.ZERO;
 
     private Process(String name) {
@@ -119,6 +121,22 @@
     /** Freezes or resumes the process; its clock goes on. */
     public void pause(boolean value) {
       paused = value;
+      pauses += value ? 1 : 0;
+    }
+
+    /** Returns whether the process is frozen. */
+    public boolean paused() {
+      return paused;
+    }
+
+    /** Returns how often the process was frozen so far. */
+    public int pauses() {
+      return pauses;
+    }
+
+    /** Makes the monotonic clock run at another rate than the true time; 1 is the true rate. */
+    public void clockRate(double rate) {
+      clockRate = rate;
     }
 
     /** Ends the process; none of its threads runs again. */
@@ -166,12 +184,13 @@
 
     @Override
     public long nanoTime() {
-      return nowNanos;
+      return (long) (nowNanos * process.clockRate);
     }
 
     @Override
     public void sleep(Duration duration) {
-      VirtualScheduler.this.sleep(duration);
+      VirtualScheduler.this.sleep(
+          Duration.ofNanos((long) (duration.toNanos() / process.clockRate)));
     }
   }
 
