Pass the baton between threads directly in soak runs

The thread that gives up the baton now picks the next one itself; single lease holders are checked after each step instead of by a polling thread.

--- a/bench/src/main/java/org/clementinequay/bench/soak/LeaseScenario.java
+++ b/bench/src/main/java/org/clementinequay/bench/soak/LeaseScenario.java
@@ -33,9 +33,12 @@
 final class LeaseScenario {
   private static final int CANDIDATES = 4;
   private static final String DUTY = "duty";
+
+  /** One step in this number releases the lease; its orders may then still be in flight. */
+  private static final int RELEASE_ODDS = 60;
+
   private static final String FROZEN = "frozen";
   private static final Duration STEP = Duration.ofMillis(500);
-  private static final Duration MONITOR_INTERVAL = Duration.ofMillis(50);
 
   /** Rates of clocks stay within a ratio of a fifth, which the take-over margin tolerates. */
   private static final double LARGEST_RATE_ERROR = 0.08;
@@ -50,6 +53,7 @@
   private final List<Candidate> candidates = new ArrayList<>();
   private final Map<String, Target> targets = new HashMap<>();
   private final VirtualScheduler.Process network;
+  private List<String> lastViolation = List.of();
   private int started;
   private long orders;
 
@@ -68,7 +72,7 @@
     }
     new ProcessFaults(run, this::victims, this::restart)
         .start(2, List.of(ProcessFaults.Kind.values()));
-    run.scheduler().process("monitor").start("holders", this::monitor);
+    run.scheduler().observe(this::checkHolders);
     run.runToEnd();
     checkOrders();
     checkEnd();
@@ -100,14 +104,11 @@
         .toList();
   }
 
-  private void monitor() {
-    while (true) {
-      run.scheduler().sleep(MONITOR_INTERVAL);
-      List<String> names = holders().stream().map(c -> c.process.name()).toList();
-      if (names.size() > 1) {
-        run.violate("valid lease holders at " + run.scheduler().nowNanos() + ": " + names);
-        return;
-      }
+  private void checkHolders() {
+    List<String> names = holders().stream().map(c -> c.process.name()).toList();
+    if (names.size() > 1 && !names.equals(lastViolation)) {
+      lastViolation = names;
+      run.violate("valid lease holders at " + run.scheduler().nowNanos() + ": " + names);
     }
   }
 
@@ -212,7 +213,7 @@
           // The lease stays valid until its time is over.
         }
         run.scheduler().sleep(STEP);
-        stopping = !run.quiet() && fencing > 0 && run.random().nextInt(200) == 0;
+        stopping = !run.quiet() && fencing > 0 && run.random().nextInt(RELEASE_ODDS) == 0;
       }
       run.scheduler().await(() -> !ordering, FencedOrders.LONGEST_ORDER.multipliedBy(2));
       try {
--- a/bench/src/main/java/org/clementinequay/bench/soak/Scenario.java
+++ b/bench/src/main/java/org/clementinequay/bench/soak/Scenario.java
@@ -23,7 +23,7 @@
     }
   },
   /** Processes whose clocks differ compete for a lease and send orders to upstreams under it. */
-  LEASES(Duration.ofSeconds(200), Duration.ofSeconds(60)) {
+  LEASES(Duration.ofSeconds(300), Duration.ofSeconds(60)) {
     @Override
     void execute(SoakRun run) throws Exception {
       new LeaseScenario(run).execute();
--- a/bench/src/main/java/org/clementinequay/bench/soak/VirtualScheduler.java
+++ b/bench/src/main/java/org/clementinequay/bench/soak/VirtualScheduler.java
@@ -42,8 +42,11 @@
   private final List<String> failures = new ArrayList<>();
   private final Semaphore returned = new Semaphore(0);
   private final ThreadLocal<Task> running = new ThreadLocal<>();
+  private Runnable observer = () -> {};
   private long nowNanos;
-  private long steps;
+  private long endNanos;
+  private volatile long steps;
+  private volatile Task last;
   private boolean closing;
 
   /** Creates a scheduler whose choices follow from the seed. */
@@ -77,8 +80,7 @@
     final Semaphore baton = new Semaphore(0);
     long wakeNanos;
     BooleanSupplier condition = () -> false;
-    boolean done;
-    Thread thread;
+    volatile Thread thread;
 
     Task(Process process, String name, long wakeNanos) {
       this.process = process;
@@ -244,18 +246,43 @@
     }
     task.condition = condition;
     task.wakeNanos = nowNanos + Math.max(0, longest.toNanos());
-    returned.release();
-    awaitBaton(task);
+    if (!passBaton(task)) {
+      awaitBaton(task);
+    }
+  }
+
+  /** Calls the observer after each step; it must not block. */
+  public void observe(Runnable newObserver) {
+    observer = newObserver;
   }
 
   /** Runs the threads until the virtual time is reached. */
   public void runUntil(Duration end) {
-    long endNanos = end.toNanos();
-    while (true) {
+    endNanos = end.toNanos();
+    Task first = next();
+    if (first != null) {
+      first.baton.release();
+      awaitReturn();
+    }
+  }
+
+  /** Unwinds all threads. State and history must have been checked before. */
+  @Override
+  public void close() {
+    closing = true;
+    for (Task task : List.copyOf(tasks)) {
+      task.baton.release();
+      awaitReturn();
+    }
+  }
+
+  /** Picks the thread that runs next; null at the end of the run. */
+  private Task next() {
+    while (nowNanos < endNanos) {
       List<Task> ready = new ArrayList<>();
-      long nextWake = Long.MAX_VALUE;
+      long nextWake = endNanos;
       for (Task task : tasks) {
-        if (!task.done && !task.process.paused && !task.process.killed) {
+        if (!task.process.paused && !task.process.killed) {
           nextWake = Math.min(nextWake, task.wakeNanos);
           if (task.wakeNanos <= nowNanos || task.condition.getAsBoolean()) {
             ready.add(task);
@@ -263,54 +290,43 @@
         }
       }
       if (!ready.isEmpty()) {
-        step(ready.get(random.nextInt(ready.size())));
-      } else if (nextWake > endNanos) {
-        nowNanos = Math.max(nowNanos, endNanos);
-        return;
-      } else {
-        nowNanos = nextWake;
-      }
-      if (nowNanos >= endNanos) {
-        return;
+        nowNanos += STEP_NANOS;
+        steps++;
+        observer.run();
+        last = ready.get(random.nextInt(ready.size()));
+        return last;
       }
+      nowNanos = nextWake;
     }
+    return null;
   }
 
-  /** Unwinds all threads. State and history must have been checked before. */
-  @Override
-  public void close() {
-    closing = true;
-    for (Task task : tasks) {
-      if (!task.done) {
-        task.baton.release();
-        awaitReturn(task);
-      }
-    }
-  }
-
-  private void step(Task task) {
-    nowNanos += STEP_NANOS;
-    steps++;
-    task.baton.release();
-    awaitReturn(task);
-    if (task.done) {
-      tasks.remove(task);
+  /** Passes the baton on; returns whether the caller keeps it. */
+  private boolean passBaton(Task from) {
+    Task next = closing ? null : next();
+    if (next == null) {
+      returned.release();
+    } else if (next != from) {
+      next.baton.release();
     }
+    return next == from;
   }
 
-  private void awaitReturn(Task task) {
+  private void awaitReturn() {
     try {
-      if (!returned.tryAcquire(STUCK_SECONDS, TimeUnit.SECONDS)) {
-        IllegalStateException stuck =
-            new IllegalStateException(task.name + " blocks without using its clock");
-        if (task.thread != null) {
-          stuck.setStackTrace(task.thread.getStackTrace());
+      long seen = -1;
+      while (!returned.tryAcquire(STUCK_SECONDS, TimeUnit.SECONDS)) {
+        if (steps == seen) {
+          IllegalStateException stuck =
+              new IllegalStateException(last.name + " blocks without using its clock");
+          stuck.setStackTrace(last.thread.getStackTrace());
+          throw stuck;
         }
-        throw stuck;
+        seen = steps;
       }
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
-      throw new IllegalStateException("interrupted while " + task.name + " ran", e);
+      throw new IllegalStateException("interrupted during a run", e);
     }
   }
 
@@ -336,8 +352,8 @@
       }
     } finally {
       running.remove();
-      task.done = true;
-      returned.release();
+      tasks.remove(task);
+      passBaton(task);
     }
   }
 }
