Soak bills with hosts killed one at a time

Cause: copies, sealing and flushing of bill records had no randomised run. Four hosts with the real replicator, holder and sealer bill requests over links that delay, go silent and break; one host at a time is killed. The duty steps are called by reflection, because they are package-private and their threads would run outside virtual time.

--- /dev/null
+++ b/bench/src/main/java/org/clementinequay/bench/soak/BillingScenario.java
@@ -0,0 +1,303 @@
+package org.clementinequay.bench.soak;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import org.clementinequay.core.Incarnation;
+import org.clementinequay.core.Outcome;
+import org.clementinequay.core.RequestId;
+import org.clementinequay.core.billing.AttemptState;
+import org.clementinequay.core.billing.Bill;
+import org.clementinequay.core.billing.BillLedger;
+import org.clementinequay.core.billing.BillRecord;
+import org.clementinequay.core.billing.BillStore;
+import org.clementinequay.core.billing.BilledAttempt;
+import org.clementinequay.core.billing.HeldCopies;
+import org.clementinequay.core.platform.ObjectStore;
+import org.clementinequay.core.platform.PlatformException;
+import org.clementinequay.core.platform.PlatformUnavailableException;
+import org.clementinequay.core.platform.Row;
+import org.clementinequay.server.billing.BillHolder;
+import org.clementinequay.server.billing.BillReplicator;
+import org.clementinequay.server.billing.BillSealer;
+import org.clementinequay.server.billing.BillingMetrics;
+import org.clementinequay.server.billing.CopyResult;
+import org.clementinequay.server.billing.HolderChoice;
+import org.clementinequay.server.peer.PeerMessage;
+import org.clementinequay.server.peer.PeerNetwork;
+
+/**
+ * Hosts bill requests while hosts are paused, cut off, and killed one at a time. Events, with the
+ * request id: {@code worked} (the detail is the record) and {@code released} (the final event was
+ * sent; the detail says how many hosts held the record).
+ */
+final class BillingScenario {
+  private static final int HOSTS = 4;
+  private static final int REQUEST_THREADS = 2;
+  private static final Duration LONGEST_THINK_TIME = Duration.ofMillis(400);
+  private static final Duration REPLICATOR_TICK = Duration.ofMillis(50);
+  private static final Duration SEALER_TICK = Duration.ofMillis(200);
+  private static final Duration LONGEST_RELEASE = Duration.ofSeconds(60);
+  private static final Duration SETTLE = Duration.ofSeconds(40);
+
+  /** Time before a kill in which copies that other faults cost are renewed. */
+  private static final Duration BEFORE_KILL = Duration.ofSeconds(10);
+
+  private final SoakRun run;
+  private final FakeNetwork network;
+  private final List<Host> hosts = new ArrayList<>();
+  private final Set<Incarnation> dead = new HashSet<>();
+
+  BillingScenario(SoakRun run) {
+    this.run = run;
+    network = new FakeNetwork(run);
+  }
+
+  void execute() throws PlatformException {
+    for (int i = 0; i < HOSTS; i++) {
+      start("host" + i, "domain" + i % 2);
+    }
+    // One fault at a time: only the loss of a single host must not lose a record.
+    new ProcessFaults(run, () -> hosts.stream().map(host -> host.process).toList(), this::kill)
+        .start(1, List.of(ProcessFaults.Kind.values()));
+    run.runToEnd();
+    check();
+  }
+
+  private void start(String name, String domain) {
+    Host host = new Host(run.scheduler().process(name), domain);
+    hosts.add(host);
+    host.process.start("replicator", host::replicate);
+    host.process.start("sealer", host::seal);
+    for (int i = 0; i < REQUEST_THREADS; i++) {
+      host.process.start("request" + i, host::serve);
+    }
+  }
+
+  private void kill(VirtualScheduler.Process victim) {
+    run.scheduler().sleep(BEFORE_KILL);
+    // While a survivor holds the last copy of a dead host's record, another loss would be a second.
+    run.scheduler().await(() -> nothingHeldForDead() || run.quiet(), LONGEST_RELEASE);
+    if (run.quiet() || !nothingHeldForDead()) {
+      return;
+    }
+    victim.kill();
+    Host lost = hosts.stream().filter(host -> host.process == victim).findFirst().orElseThrow();
+    run.history().add(victim.name(), "killed", lost.incarnation.id(), lost.ledger.unsealed(), "");
+    hosts.remove(lost);
+    dead.add(lost.incarnation);
+    start(victim.name() + "'", lost.domain);
+    run.scheduler().sleep(BEFORE_KILL);
+  }
+
+  private boolean nothingHeldForDead() {
+    return hosts.stream().flatMap(host -> host.copies.owners().stream()).noneMatch(dead::contains);
+  }
+
+  private final class Host {
+    final VirtualScheduler.Process process;
+    final String domain;
+    final Incarnation incarnation = Incarnation.random(run.random());
+    final BillLedger ledger = new BillLedger(incarnation);
+    final HeldCopies copies = new HeldCopies(incarnation);
+    final BillReplicator replicator;
+    final BillSealer sealer;
+    boolean offered;
+    long sequence;
+
+    Host(VirtualScheduler.Process process, String domain) {
+      this.process = process;
+      this.domain = domain;
+      PeerNetwork links = mutated(network.join(process, incarnation, domain));
+      replicator =
+          new BillReplicator(
+              ledger,
+              links,
+              new HolderChoice(incarnation, domain, "region"),
+              process.clock(),
+              BillingMetrics.NONE);
+      sealer =
+          BillSealer.builder()
+              .ledger(ledger)
+              .copies(copies)
+              .holder(new BillHolder(copies, links, process.clock()))
+              .store(new BillStore(run.platform().table(), mutated(run.platform().store())))
+              .replicator(replicator)
+              .clock(process.clock())
+              .build();
+    }
+
+    void replicate() throws Exception {
+      while (true) {
+        run.scheduler().await(() -> offered, REPLICATOR_TICK);
+        offered = false;
+        run.scheduler().sleep(BillReplicator.GROUPING);
+        DutySteps.call(replicator, "step");
+      }
+    }
+
+    void seal() throws Exception {
+      while (true) {
+        DutySteps.call(sealer, "step");
+        run.scheduler().sleep(SEALER_TICK);
+      }
+    }
+
+    void serve() {
+      while (!run.lessThanLeft(SETTLE)) {
+        run.sleepUpTo(LONGEST_THINK_TIME);
+        sequence++;
+        BillRecord record = record(new RequestId(incarnation, sequence));
+        // Requests take differently long, so that records are not added in the order of their ids.
+        run.sleepUpTo(LONGEST_THINK_TIME);
+        String id = record.id().toString();
+        run.history().add(process.name(), "worked", id, record.costMicros(), record.toLine());
+        CompletableFuture<CopyResult> copied = replicator.replicate(record);
+        offered = true;
+        boolean early = run.mutated(Mutant.BILL_RELEASED_BEFORE_COPY);
+        run.scheduler().await(() -> early || copied.isDone(), LONGEST_RELEASE);
+        String holders = early ? CopyResult.COPIED.name() : copied.join().name();
+        run.history().add(process.name(), "released", id, record.costMicros(), holders);
+      }
+    }
+
+    private BillRecord record(RequestId id) {
+      List<BilledAttempt> attempts = new ArrayList<>();
+      int count = 1 + run.random().nextInt(2);
+      for (int number = 1; number <= count; number++) {
+        AttemptState state = number == count ? AttemptState.ACCEPTED : AttemptState.FAILED;
+        long tokens = run.random().nextInt(500);
+        attempts.add(new BilledAttempt(number, "m@1", "u", state, 10, tokens, 3 * tokens));
+      }
+      Instant end = process.clock().now();
+      return new BillRecord(id, "account", "class", "m", Outcome.RAN, end, attempts);
+    }
+  }
+
+  private PeerNetwork mutated(PeerNetwork links) {
+    boolean droppedEarly = run.mutated(Mutant.COPY_DROPPED_BEFORE_SEAL);
+    boolean neverUnlinked = run.mutated(Mutant.DEAD_HOST_NOT_FLUSHED);
+    return droppedEarly || neverUnlinked
+        ? new MutatedNetwork(links, droppedEarly, neverUnlinked)
+        : links;
+  }
+
+  private record MutatedNetwork(PeerNetwork links, boolean droppedEarly, boolean neverUnlinked)
+      implements PeerNetwork {
+    @Override
+    public List<Peer> peers() {
+      return links.peers();
+    }
+
+    @Override
+    public boolean send(Incarnation to, PeerMessage message) {
+      return links.send(to, message);
+    }
+
+    @Override
+    public void broadcast(PeerMessage message) {
+      boolean report = droppedEarly && message instanceof PeerMessage.BillSealed;
+      links.broadcast(report ? new PeerMessage.BillSealed(Long.MAX_VALUE) : message);
+    }
+
+    @Override
+    public void addListener(Listener listener) {
+      links.addListener(
+          new Listener() {
+            @Override
+            public void received(Peer from, PeerMessage message) {
+              listener.received(from, message);
+            }
+
+            @Override
+            public void linked(Peer peer) {
+              listener.linked(peer);
+            }
+
+            @Override
+            public void unlinked(Peer peer) {
+              if (!neverUnlinked) {
+                listener.unlinked(peer);
+              }
+            }
+          });
+    }
+  }
+
+  private ObjectStore mutated(ObjectStore store) {
+    if (!run.mutated(Mutant.REFUSED_BATCH_AS_WRITTEN)) {
+      return store;
+    }
+    return new ObjectStore() {
+      @Override
+      public boolean putIfAbsent(String name, byte[] content) throws PlatformException {
+        try {
+          return store.putIfAbsent(name, content);
+        } catch (PlatformUnavailableException e) {
+          return true;
+        }
+      }
+
+      @Override
+      public Optional<byte[]> read(String name) throws PlatformException {
+        return store.read(name);
+      }
+    };
+  }
+
+  private void check() throws PlatformException {
+    Map<String, String> worked = new HashMap<>();
+    run.history().events("worked").forEach(event -> worked.put(event.key(), event.detail()));
+    Map<String, Integer> billed = new HashMap<>();
+    for (String line : billedLines()) {
+      String id = BillRecord.parse(line).id().toString();
+      if (!line.equals(worked.get(id))) {
+        run.violate("billed " + line + " but the work was " + worked.get(id));
+      }
+      if (billed.merge(id, 1, Integer::sum) > 1) {
+        run.violate("request " + id + " is billed twice");
+      }
+    }
+    Set<String> living = new HashSet<>();
+    hosts.forEach(host -> living.add(host.incarnation.id()));
+    for (History.Event event : run.history().events("released")) {
+      boolean survived = living.contains(RequestId.parse(event.key()).incarnation().id());
+      boolean copied = event.detail().equals(CopyResult.COPIED.name());
+      if ((survived || copied) && !billed.containsKey(event.key())) {
+        run.violate("request is not billed: " + event);
+      }
+    }
+    if (run.history().events("released").stream().noneMatch(e -> e.atNanos() > quiet())) {
+      run.violate("no request was released after the end of faults");
+    }
+  }
+
+  private long quiet() {
+    return run.quietFromNanos();
+  }
+
+  private List<String> billedLines() throws PlatformException {
+    if (!run.mutated(Mutant.BILL_WITHOUT_UNION)) {
+      BillStore store = new BillStore(run.platform().rows(), run.platform().objects());
+      Bill bill = store.read("", Instant.EPOCH, Instant.MAX);
+      if (bill.contradictions() > 0) {
+        run.violate(bill.contradictions() + " requests have two different records");
+      }
+      return bill.records().stream().map(BillRecord::toLine).toList();
+    }
+    List<String> lines = new ArrayList<>();
+    for (Row row : run.platform().rows().scan("bills", "", "", Integer.MAX_VALUE)) {
+      byte[] content = run.platform().objects().read(row.key().toString()).orElseThrow();
+      new String(content, StandardCharsets.UTF_8).lines().forEach(lines::add);
+    }
+    return lines;
+  }
+}
--- a/bench/src/main/java/org/clementinequay/bench/soak/Mutant.java
+++ b/bench/src/main/java/org/clementinequay/bench/soak/Mutant.java
@@ -31,7 +31,17 @@
   /** A new holder does not wait for the orders of the former one. */
   NO_WAIT_FOR_FORMER_ORDERS(Scenario.LEASES, "R24, R28"),
   /** A holder trusts its own orders and does not read the state of the upstream. */
-  NO_READ_BACK_OF_STATE(Scenario.LEASES, "R24, R28");
+  NO_READ_BACK_OF_STATE(Scenario.LEASES, "R24, R28"),
+  /** The final event is released before another host holds the record. */
+  BILL_RELEASED_BEFORE_COPY(Scenario.BILLING, "R4"),
+  /** Copies are dropped although their records are not durable. */
+  COPY_DROPPED_BEFORE_SEAL(Scenario.BILLING, "R4"),
+  /** Nobody learns that a host is dead. */
+  DEAD_HOST_NOT_FLUSHED(Scenario.BILLING, "R4"),
+  /** A batch that the object store refused counts as written. */
+  REFUSED_BATCH_AS_WRITTEN(Scenario.BILLING, "R4, R28"),
+  /** A bill adds up batches instead of forming the union by request id. */
+  BILL_WITHOUT_UNION(Scenario.BILLING, "R4, R12");
 
   private final Scenario scenario;
   private final String requirements;
--- a/bench/src/main/java/org/clementinequay/bench/soak/Scenario.java
+++ b/bench/src/main/java/org/clementinequay/bench/soak/Scenario.java
@@ -28,6 +28,13 @@
     void execute(SoakRun run) throws Exception {
       new LeaseScenario(run).execute();
     }
+  },
+  /** Hosts copy and seal bill records while one host at a time is killed. */
+  BILLING(Duration.ofSeconds(200), Duration.ofSeconds(60)) {
+    @Override
+    void execute(SoakRun run) throws Exception {
+      new BillingScenario(run).execute();
+    }
   };
 
   private final Duration faults;
