Create calls to upstreams before they are started

An engine that answered 500 before the start of its call had returned left the run without the call to give up; the null pointer ended in a Jetty callback, which drops exceptions. Ruled out: the ejection of upstreams, which the test does not reach. Change: transport interface that creates a call and starts it separately; the attempt owns its call; exceptions at the end of a call are logged.

--- a/server/src/main/java/org/clementinequay/server/pipeline/ChatAttempt.java
+++ b/server/src/main/java/org/clementinequay/server/pipeline/ChatAttempt.java
@@ -11,6 +11,7 @@
 import org.clementinequay.core.dispatch.CorruptStreamException;
 import org.clementinequay.core.dispatch.EventStreamReader;
 import org.clementinequay.server.upstream.UpstreamListener;
+import org.clementinequay.server.upstream.UpstreamTransport;
 import org.eclipse.jetty.util.Callback;
 
 /**
@@ -44,6 +45,7 @@
   private final EventStreamReader reader;
   private final StringBuilder text = new StringBuilder();
   private final Output output = new Output();
+  private UpstreamTransport.Call call;
   private int status;
   private boolean foreignAnswer;
   private boolean offered = true;
@@ -60,6 +62,19 @@
     this.reader = new EventStreamReader(id, firstSequence);
   }
 
+  /** Sets the call that carries the attempt; must come before {@link #start}. */
+  void call(UpstreamTransport.Call newCall) {
+    call = newCall;
+  }
+
+  void start() {
+    call.start();
+  }
+
+  void abandon(Throwable cause) {
+    call.abandon(cause);
+  }
+
   @Override
   public void headers(int newStatus, String attemptId, String contentType) {
     status = newStatus;
--- a/server/src/main/java/org/clementinequay/server/pipeline/ChatRun.java
+++ b/server/src/main/java/org/clementinequay/server/pipeline/ChatRun.java
@@ -18,7 +18,6 @@
 import org.clementinequay.core.config.Upstream;
 import org.clementinequay.core.config.VersionSpec;
 import org.clementinequay.core.placement.PlacementRequest;
-import org.clementinequay.server.upstream.UpstreamCall;
 import org.eclipse.jetty.util.Callback;
 
 /**
@@ -45,7 +44,6 @@
   private int attemptNumber;
   private boolean offered;
   private final Set<String> triedUpstreams = new HashSet<>();
-  private UpstreamCall call;
   private boolean writing;
   private Runnable afterWrite;
 
@@ -104,9 +102,10 @@
     AttemptId id = exchange.id().attempt(attemptNumber);
     ChatAttempt attempt = new ChatAttempt(id, upstream, this, collects(), 0);
     byte[] body = ChatBody.forUpstream(exchange.request().chat(), version);
-    call =
+    attempt.call(
         dispatcher.client.complete(
-            upstream, id, exchange.requestClass.priority(), body, remaining, attempt);
+            upstream, id, exchange.requestClass.priority(), body, remaining, attempt));
+    attempt.start();
   }
 
   private boolean collects() {
@@ -268,13 +267,14 @@
     dispatcher.tracker.started(attempt.upstream.name(), expectedTokens);
     ChatAttempt rest =
         new ChatAttempt(attempt.id, attempt.upstream, this, false, attempt.nextSequence());
-    call =
+    rest.call(
         dispatcher.client.resume(
-            attempt.upstream, attempt.id, attempt.nextSequence(), remainingMillis(), rest);
+            attempt.upstream, attempt.id, attempt.nextSequence(), remainingMillis(), rest));
+    rest.start();
   }
 
   private void stop(ChatAttempt attempt) {
-    call.abandon(new IOException("attempt abandoned"));
+    attempt.abandon(new IOException("attempt abandoned"));
     if (attempt.offered()) {
       dispatcher.client.cancel(attempt.upstream, attempt.id);
     }
--- a/server/src/main/java/org/clementinequay/server/pipeline/Dispatcher.java
+++ b/server/src/main/java/org/clementinequay/server/pipeline/Dispatcher.java
@@ -14,7 +14,7 @@
 import org.clementinequay.core.placement.UpstreamTracker;
 import org.clementinequay.core.placement.UpstreamView;
 import org.clementinequay.core.time.RuntimeClock;
-import org.clementinequay.server.upstream.UpstreamClient;
+import org.clementinequay.server.upstream.UpstreamTransport;
 
 /** What the runs of requests share: placement, health of the upstreams, retries, transport. */
 public final class Dispatcher {
@@ -23,7 +23,7 @@
   final UpstreamTable health;
   final UpstreamTracker tracker;
   final RetryBudget retries;
-  final UpstreamClient client;
+  final UpstreamTransport client;
   final RatingQueue ratings;
   final UpstreamEvents events;
   private final PlacementPolicy placement;
@@ -106,7 +106,7 @@
     private ConfigurationSource configuration;
     private UpstreamTable health;
     private UpstreamTracker tracker;
-    private UpstreamClient client;
+    private UpstreamTransport client;
     private RatingQueue ratings;
     private UpstreamEvents events = upstream -> {};
     private PlacementPolicy placement;
@@ -138,7 +138,7 @@
     }
 
     /** Sets the transport. */
-    public Builder client(UpstreamClient value) {
+    public Builder client(UpstreamTransport value) {
       client = value;
       return this;
     }
--- a/server/src/main/java/org/clementinequay/server/pipeline/RouteRun.java
+++ b/server/src/main/java/org/clementinequay/server/pipeline/RouteRun.java
@@ -64,13 +64,16 @@
     tried.add(upstream.get().name());
     AttemptId id = exchange.id().attempt(attempts);
     long timeout = Math.min(remaining, exchange.route.timeoutMillis());
-    dispatcher.client.call(
-        upstream.get(),
-        exchange.route.name(),
-        id,
-        exchange.request().body(),
-        timeout,
-        new Call(id, upstream.get()));
+    dispatcher
+        .client
+        .call(
+            upstream.get(),
+            exchange.route.name(),
+            id,
+            exchange.request().body(),
+            timeout,
+            new Call(id, upstream.get()))
+        .start();
   }
 
   private void ended(Call call) {
--- a/server/src/main/java/org/clementinequay/server/upstream/UpstreamCall.java
+++ b/server/src/main/java/org/clementinequay/server/upstream/UpstreamCall.java
@@ -1,5 +1,6 @@
 package org.clementinequay.server.upstream;
 
+import com.google.common.flogger.FluentLogger;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.eclipse.jetty.client.Request;
 import org.eclipse.jetty.client.Response;
@@ -8,8 +9,10 @@
 import org.eclipse.jetty.util.Callback;
 import org.eclipse.jetty.util.IteratingCallback;
 
-/** One call in flight. Reads the response with back-pressure from the listener. */
-public final class UpstreamCall {
+/** One HTTP call. Reads the response with back-pressure from the listener. */
+final class UpstreamCall implements UpstreamTransport.Call {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
   private final Request request;
   private final UpstreamListener listener;
   private final AtomicBoolean offered = new AtomicBoolean();
@@ -20,14 +23,15 @@
     this.listener = listener;
   }
 
-  void send() {
+  @Override
+  public void start() {
     request.onRequestBegin(r -> offered.set(true));
     request.onResponseHeaders(this::headers);
     request.onResponseContentSource((response, source) -> new Pump(source).iterate());
     request.send(this::completed);
   }
 
-  /** Gives the call up and closes its connection; the listener is not called again. */
+  @Override
   public void abandon(Throwable cause) {
     done.set(true);
     request.abort(cause);
@@ -46,10 +50,16 @@
     if (!done.compareAndSet(false, true)) {
       return;
     }
-    if (result.isFailed()) {
-      listener.failed(result.getFailure(), offered.get());
-    } else {
-      listener.ended();
+    try {
+      if (result.isFailed()) {
+        listener.failed(result.getFailure(), offered.get());
+      } else {
+        listener.ended();
+      }
+    } catch (RuntimeException e) {
+      // Jetty drops what a listener throws, and the request would never be answered.
+      logger.atSevere().withCause(e).log(
+          "the end of a call to %s was not handled", request.getURI());
     }
   }
 
--- a/server/src/main/java/org/clementinequay/server/upstream/UpstreamClient.java
+++ b/server/src/main/java/org/clementinequay/server/upstream/UpstreamClient.java
@@ -11,7 +11,7 @@
 import org.eclipse.jetty.http.HttpMethod;
 
 /** Sends attempts to upstreams over HTTP. */
-public final class UpstreamClient {
+public final class UpstreamClient implements UpstreamTransport {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
   /** Time for a cancellation; the engine stops by itself when its connection is closed. */
@@ -31,8 +31,8 @@
     this.progressTimeout = progressTimeout;
   }
 
-  /** Sends a chat completion to an engine. */
-  public UpstreamCall complete(
+  @Override
+  public Call complete(
       Upstream upstream,
       AttemptId attempt,
       int priority,
@@ -47,22 +47,22 @@
                         .put("X-Attempt-Id", attempt.toString())
                         .put("X-Priority", Integer.toString(priority)))
             .body(new BytesRequestContent("application/json", body));
-    return send(request, listener);
+    return new UpstreamCall(request, listener);
   }
 
-  /** Asks an engine for the rest of an attempt's stream. */
-  public UpstreamCall resume(
+  @Override
+  public Call resume(
       Upstream upstream,
       AttemptId attempt,
       long fromSequence,
       long timeoutMillis,
       UpstreamListener listener) {
     String path = "/v1/attempts/" + attempt + "?from=" + fromSequence;
-    return send(request(upstream, HttpMethod.GET, path, timeoutMillis), listener);
+    return new UpstreamCall(request(upstream, HttpMethod.GET, path, timeoutMillis), listener);
   }
 
-  /** Sends a call to a plain service. */
-  public UpstreamCall call(
+  @Override
+  public Call call(
       Upstream upstream,
       String route,
       AttemptId attempt,
@@ -73,10 +73,10 @@
         request(upstream, HttpMethod.POST, "/calls/" + route, timeoutMillis)
             .headers(headers -> headers.put("X-Attempt-Id", attempt.toString()))
             .body(new BytesRequestContent("application/json", body));
-    return send(request, listener);
+    return new UpstreamCall(request, listener);
   }
 
-  /** Tells an engine to stop an attempt; the answer does not matter. */
+  @Override
   public void cancel(Upstream upstream, AttemptId attempt) {
     request(upstream, HttpMethod.DELETE, "/v1/attempts/" + attempt, CANCEL_TIMEOUT_MILLIS)
         .send(
@@ -94,10 +94,4 @@
         .idleTimeout(progressTimeout.toMillis(), TimeUnit.MILLISECONDS)
         .timeout(Math.max(1, timeoutMillis), TimeUnit.MILLISECONDS);
   }
-
-  private static UpstreamCall send(Request request, UpstreamListener listener) {
-    UpstreamCall call = new UpstreamCall(request, listener);
-    call.send();
-    return call;
-  }
 }
--- /dev/null
+++ b/server/src/test/java/org/clementinequay/server/pipeline/ChatRunTest.java
@@ -0,0 +1,224 @@
+package org.clementinequay.server.pipeline;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.SplittableRandom;
+import org.clementinequay.core.ModelVersion;
+import org.clementinequay.core.Outcome;
+import org.clementinequay.core.RefusalReason;
+import org.clementinequay.core.RequestFailedException;
+import org.clementinequay.core.RequestId;
+import org.clementinequay.core.config.ClientAccount;
+import org.clementinequay.core.config.Model;
+import org.clementinequay.core.config.RequestClass;
+import org.clementinequay.core.config.RevisionedConfiguration;
+import org.clementinequay.core.config.RouterConfiguration;
+import org.clementinequay.core.config.Upstream;
+import org.clementinequay.core.config.UpstreamKind;
+import org.clementinequay.core.config.VersionSpec;
+import org.clementinequay.core.config.VersionState;
+import org.clementinequay.core.dispatch.UpstreamTable;
+import org.clementinequay.core.placement.TwoChoicesPolicy;
+import org.clementinequay.core.placement.UpstreamTracker;
+import org.clementinequay.core.session.SessionKey;
+import org.clementinequay.core.session.SessionTokens;
+import org.clementinequay.core.time.ManualClock;
+import org.clementinequay.server.pipeline.ScriptedTransport.Behaviour;
+import org.eclipse.jetty.util.Callback;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Runs of chat completions over a transport that answers before the start has returned. */
+public final class ChatRunTest {
+  private static final ModelVersion VERSION = ModelVersion.parse("label-large@v1");
+
+  /** One run with its surroundings. */
+  private static final class Fixture implements ReplySink, Filter.Next, ConfigurationSource {
+    private final ManualClock clock = new ManualClock(Instant.EPOCH);
+    private final ScriptedTransport transport = new ScriptedTransport();
+    private final StringBuilder written = new StringBuilder();
+    private VersionState state = VersionState.LIVE;
+    private int proceeded;
+    private RequestFailedException failure;
+    private Exchange exchange;
+
+    private Fixture run(Behaviour... script) {
+      transport.script.addAll(List.of(script));
+      exchange = new Exchange(requestId(), request(), this, clock.nanoTime());
+      exchange.account = account();
+      exchange.requestClass = new RequestClass("sheet", 0, 10_000, 0.9);
+      exchange.deadlineNanos = Duration.ofSeconds(10).toNanos();
+      exchange.plan = List.of(new PlanStep(VERSION, false, 0));
+      SessionTokens tokens = new SessionTokens(List.of(new SessionKey("k", new byte[32])));
+      Dispatcher dispatcher =
+          Dispatcher.builder()
+              .clock(clock)
+              .configuration(this)
+              .health(new UpstreamTable(clock))
+              .tracker(new UpstreamTracker())
+              .client(transport)
+              .ratings(new RatingQueue((version, name, prompt, answer) -> 1, 0))
+              .placement(new TwoChoicesPolicy(new SplittableRandom(5)))
+              .build();
+      new ChatRun(dispatcher, exchange, new ChatReply(tokens, clock), this).start();
+      return this;
+    }
+
+    private static RequestId requestId() {
+      return RequestId.parse("0123456789abcdef0123456789abcdef-1");
+    }
+
+    private static ClientAccount account() {
+      return ClientAccount.builder("growers").models("label-large").build();
+    }
+
+    private static CallerRequest request() {
+      ObjectNode chat = new ObjectMapper().createObjectNode().put("stream", true);
+      chat.putArray("messages").addObject().put("content", "x");
+      return new CallerRequest(
+          CallerRequest.Kind.CHAT,
+          "",
+          "label-large",
+          "sheet",
+          Optional.empty(),
+          Optional.empty(),
+          OptionalLong.empty(),
+          true,
+          chat,
+          new byte[40]);
+    }
+
+    @Override
+    public Optional<ActiveConfiguration> current() {
+      VersionSpec spec = new VersionSpec("v1", state, 0, 1, 1);
+      RouterConfiguration document =
+          RouterConfiguration.builder()
+              .models(List.of(new Model("label-large", List.of(spec))))
+              .accounts(List.of(account()))
+              .upstreams(List.of(engine("e1"), engine("e2"), engine("e3")))
+              .build();
+      return Optional.of(new ActiveConfiguration(new RevisionedConfiguration(1, "", "", document)));
+    }
+
+    private static Upstream engine(String name) {
+      return new Upstream(
+          name, UpstreamKind.ENGINE, "127.0.0.1:1", "a", List.of(VERSION.toString()), 4, true);
+    }
+
+    @Override
+    public boolean usable(ModelVersion version) {
+      return true;
+    }
+
+    @Override
+    public void begin(int status, Map<String, String> headers) {}
+
+    @Override
+    public void write(ByteBuffer bytes, Callback callback) {
+      written.append(StandardCharsets.UTF_8.decode(bytes));
+      callback.succeeded();
+    }
+
+    @Override
+    public void end(ByteBuffer bytes) {}
+
+    @Override
+    public void abort(Throwable cause) {}
+
+    @Override
+    public void proceed() {
+      proceeded++;
+    }
+
+    @Override
+    public void fail(RequestFailedException cause) {
+      failure = cause;
+    }
+  }
+
+  /** Ends of requests. */
+  public static final class Ends {
+    private Fixture fixture;
+
+    @BeforeMethod
+    public void createFixture() {
+      fixture = new Fixture();
+    }
+
+    /**
+     * Guards against a request that is never answered: an engine that failed before the start of
+     * its call had returned once left the run without the call to give up.
+     */
+    @Test
+    public void answersWhenAnUpstreamFailsAtOnce() {
+      fixture.run(Behaviour.STATUS_500, Behaviour.WHOLE);
+      assertEquals(fixture.proceeded, 1);
+      assertEquals(fixture.exchange.attempts().size(), 2);
+    }
+
+    /** Guards against a false not-run after a byte was offered. */
+    @Test
+    public void isUnknownOnceARequestWasOffered() {
+      fixture.run(Behaviour.NOT_CONNECTED, Behaviour.BROKEN_AFTER_SEND, Behaviour.NOT_CONNECTED);
+      assertEquals(fixture.failure.outcome(), Outcome.UNKNOWN);
+    }
+
+    /** Guards against a refusal that hides that the request cannot have run. */
+    @Test
+    public void isNotRunWhileNoUpstreamWasReached() {
+      fixture.run(Behaviour.NOT_CONNECTED, Behaviour.NOT_CONNECTED, Behaviour.NOT_CONNECTED);
+      assertEquals(fixture.failure.outcome(), Outcome.NOT_RUN);
+      assertTrue(fixture.exchange.attempts().isEmpty());
+    }
+
+    /** Guards against work on a version that was withdrawn after the plan was made. */
+    @Test
+    public void refusesAVersionWithdrawnBeforeTheDispatch() {
+      fixture.state = VersionState.WITHDRAWN;
+      fixture.run();
+      assertEquals(fixture.failure.reason(), RefusalReason.NO_LIVE_VERSION);
+      assertEquals(fixture.failure.outcome(), Outcome.NOT_RUN);
+      assertTrue(fixture.transport.sent.isEmpty());
+    }
+  }
+
+  /** Streams that break off after a part was released. */
+  public static final class Resumptions {
+    /** Guards against a retry elsewhere that would repeat tokens the caller already has. */
+    @Test
+    public void goesOnWhereTheStreamBrokeOff() {
+      Fixture fixture = new Fixture().run(Behaviour.CUT_AFTER_ONE_EVENT, Behaviour.WHOLE);
+      assertEquals(fixture.proceeded, 1);
+      assertTrue(fixture.transport.sent.get(1).startsWith("resume"), "" + fixture.transport.sent);
+      assertTrue(fixture.transport.sent.get(1).endsWith("from 1"), "" + fixture.transport.sent);
+      assertEquals(fixture.written.toString().split("\"n\":0").length, 2);
+      assertEquals(fixture.exchange.attempts().size(), 1);
+    }
+
+    /** Guards against a broken stream that is passed off as whole. */
+    @Test
+    public void failsWithUnknownWhenItCannotGoOn() {
+      Fixture fixture =
+          new Fixture()
+              .run(
+                  Behaviour.CUT_AFTER_ONE_EVENT,
+                  Behaviour.BROKEN_AFTER_SEND,
+                  Behaviour.BROKEN_AFTER_SEND);
+      assertEquals(fixture.proceeded, 0);
+      assertEquals(fixture.failure.reason(), RefusalReason.ANSWER_INCOMPLETE);
+      assertEquals(fixture.failure.outcome(), Outcome.UNKNOWN);
+      assertEquals(fixture.transport.cancelled.size(), 1);
+    }
+  }
+}
--- /dev/null
+++ b/server/src/test/java/org/clementinequay/server/pipeline/ScriptedTransport.java
@@ -0,0 +1,118 @@
+package org.clementinequay.server.pipeline;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Queue;
+import org.clementinequay.core.AttemptId;
+import org.clementinequay.core.config.Upstream;
+import org.clementinequay.server.upstream.UpstreamListener;
+import org.clementinequay.server.upstream.UpstreamTransport;
+import org.eclipse.jetty.util.Callback;
+
+/** A transport whose answers come from a script, before the start of the call has returned. */
+final class ScriptedTransport implements UpstreamTransport {
+  /** How a call ends. */
+  enum Behaviour {
+    WHOLE,
+    STATUS_500,
+    NOT_CONNECTED,
+    BROKEN_AFTER_SEND,
+    CUT_AFTER_ONE_EVENT
+  }
+
+  final Queue<Behaviour> script = new ArrayDeque<>();
+  final List<String> sent = new ArrayList<>();
+  final List<AttemptId> cancelled = new ArrayList<>();
+
+  @Override
+  public Call complete(
+      Upstream upstream,
+      AttemptId attempt,
+      int priority,
+      byte[] body,
+      long timeoutMillis,
+      UpstreamListener listener) {
+    sent.add("complete " + upstream.name());
+    return call(attempt, 0, listener);
+  }
+
+  @Override
+  public Call resume(
+      Upstream upstream,
+      AttemptId attempt,
+      long fromSequence,
+      long timeoutMillis,
+      UpstreamListener listener) {
+    sent.add("resume " + upstream.name() + " from " + fromSequence);
+    return call(attempt, fromSequence, listener);
+  }
+
+  @Override
+  public Call call(
+      Upstream upstream,
+      String route,
+      AttemptId attempt,
+      byte[] body,
+      long timeoutMillis,
+      UpstreamListener listener) {
+    sent.add("call " + upstream.name());
+    return call(attempt, 0, listener);
+  }
+
+  @Override
+  public void cancel(Upstream upstream, AttemptId attempt) {
+    cancelled.add(attempt);
+  }
+
+  private Call call(AttemptId attempt, long from, UpstreamListener listener) {
+    return new Call() {
+      @Override
+      public void start() {
+        play(script.remove(), attempt, from, listener);
+      }
+
+      @Override
+      public void abandon(Throwable cause) {}
+    };
+  }
+
+  private static void play(
+      Behaviour behaviour, AttemptId attempt, long from, UpstreamListener listener) {
+    switch (behaviour) {
+      case NOT_CONNECTED -> listener.failed(new java.net.ConnectException("refused"), false);
+      case BROKEN_AFTER_SEND -> listener.failed(new java.io.EOFException("closed"), true);
+      case STATUS_500 -> {
+        listener.headers(500, null, null);
+        listener.ended();
+      }
+      case CUT_AFTER_ONE_EVENT -> {
+        listener.headers(200, attempt.toString(), "text/event-stream");
+        content(listener, event(attempt, from, "{\"n\":" + from + "}"));
+        listener.ended();
+      }
+      default -> {
+        listener.headers(200, attempt.toString(), "text/event-stream");
+        String usage =
+            "{\"choices\":[{\"finish_reason\":\"stop\"}],"
+                + "\"usage\":{\"prompt_tokens\":7,\"completion_tokens\":2}}";
+        content(
+            listener,
+            event(attempt, from, "{\"n\":" + from + "}")
+                + event(attempt, from + 1, usage)
+                + "data: [DONE]\n\n");
+        listener.ended();
+      }
+    }
+  }
+
+  private static String event(AttemptId attempt, long sequence, String data) {
+    return "id: " + attempt + "/" + sequence + "\ndata: " + data + "\n\n";
+  }
+
+  private static void content(UpstreamListener listener, String text) {
+    listener.content(ByteBuffer.wrap(text.getBytes(StandardCharsets.UTF_8)), Callback.NOOP);
+  }
+}
