Add the command line

Operators and start scripts need one program with help, exit codes and JSON output. Each command is a class with its own JOpt Simple parser; apply requires the base revision, because a default of the latest one would hide a race, and says how to repeat a submission whose result is unknown. A password option was ruled out since process lists show it.

--- /dev/null
+++ b/server/src/main/java/org/clementinequay/server/cli/CommandException.java
@@ -0,0 +1,19 @@
+package org.clementinequay.server.cli;
+
+import org.clementinequay.core.RouterException;
+
+/** A command ends early; carries the exit code and the line for standard error. */
+final class CommandException extends RouterException {
+  private static final long serialVersionUID = 1L;
+
+  private final ExitCode code;
+
+  CommandException(ExitCode code, String message) {
+    super(message, null);
+    this.code = code;
+  }
+
+  ExitCode code() {
+    return code;
+  }
+}
--- /dev/null
+++ b/server/src/main/java/org/clementinequay/server/cli/CommandLine.java
@@ -0,0 +1,93 @@
+package org.clementinequay.server.cli;
+
+import java.io.IOException;
+import java.util.Arrays;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import joptsimple.OptionException;
+import joptsimple.OptionParser;
+import joptsimple.OptionSet;
+
+/** The command line: selects a command, parses its options and runs it. */
+public final class CommandLine {
+  static final String PROGRAM = "clementinequay";
+  private static final String HELP_OPTION = "help";
+
+  private final Map<String, Command> commands = new LinkedHashMap<>();
+  private final Terminal terminal;
+
+  /** Creates the command line. */
+  public CommandLine(Terminal terminal, EntryLauncher launcher) {
+    this.terminal = terminal;
+    List<Command> all =
+        List.of(
+            new EntryCommand(launcher),
+            new CheckCommand(),
+            new ShowCommand(),
+            new DiffCommand(),
+            new ApplyCommand(),
+            new HistoryCommand(),
+            new StatusCommand(),
+            new BillCommand(),
+            new PasswordCommand(),
+            new VersionCommand(),
+            new HelpCommand(commands));
+    all.forEach(command -> commands.put(command.name(), command));
+  }
+
+  /** Runs the command that the arguments name. */
+  public ExitCode run(String... args) {
+    String name = args.length == 0 ? "help" : args[0];
+    boolean helpOption = name.equals("--help") || name.equals("-h");
+    Command command = commands.get(helpOption ? "help" : name);
+    if (command == null) {
+      terminal.err().println(PROGRAM + ": unknown command \"" + name + "\"; try: help");
+      return ExitCode.USAGE;
+    }
+    ExitCode code =
+        run(command, args.length == 0 ? args : Arrays.copyOfRange(args, 1, args.length));
+    return args.length == 0 ? ExitCode.USAGE : code;
+  }
+
+  private ExitCode run(Command command, String[] args) {
+    OptionParser parser = command.parser();
+    parser.accepts(HELP_OPTION, "print this help").forHelp();
+    try {
+      OptionSet options = parser.parse(args);
+      if (options.has(HELP_OPTION)) {
+        printHelp(command, terminal);
+        return ExitCode.DONE;
+      }
+      return command.run(options, terminal);
+    } catch (OptionException e) {
+      terminal
+          .err()
+          .println(
+              PROGRAM
+                  + " "
+                  + command.name()
+                  + ": "
+                  + e.getMessage()
+                  + "; try: help "
+                  + command.name());
+      return ExitCode.USAGE;
+    } catch (CommandException e) {
+      terminal.err().println(PROGRAM + " " + command.name() + ": " + e.getMessage());
+      return e.code();
+    }
+  }
+
+  static void printHelp(Command command, Terminal terminal) {
+    terminal
+        .out()
+        .println(("Usage: " + PROGRAM + " " + command.name() + " " + command.arguments()).trim());
+    terminal.out().println(command.summary());
+    terminal.out().println();
+    try {
+      command.parser().printHelpOn(terminal.out());
+    } catch (IOException e) {
+      terminal.err().println("help cannot be written: " + e.getMessage());
+    }
+  }
+}
--- /dev/null
+++ b/server/src/main/java/org/clementinequay/server/cli/EntryCommand.java
@@ -0,0 +1,56 @@
+package org.clementinequay.server.cli;
+
+import com.google.common.flogger.FluentLogger;
+import joptsimple.OptionParser;
+import joptsimple.OptionSet;
+import joptsimple.OptionSpec;
+import org.clementinequay.server.settings.Settings;
+
+/** Runs an entry host. */
+final class EntryCommand implements Command {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+  private final OptionParser parser = new OptionParser();
+  private final OptionSpec<String> settingsFile =
+      parser.accepts("settings", "settings of this host").withRequiredArg().required();
+  private final EntryLauncher launcher;
+
+  EntryCommand(EntryLauncher launcher) {
+    this.launcher = launcher;
+  }
+
+  @Override
+  public String name() {
+    return "entry";
+  }
+
+  @Override
+  public String arguments() {
+    return "--settings FILE";
+  }
+
+  @Override
+  public String summary() {
+    return "Runs an entry host until the process is told to stop.";
+  }
+
+  @Override
+  public OptionParser parser() {
+    return parser;
+  }
+
+  @Override
+  public ExitCode run(OptionSet options, Terminal terminal) throws CommandException {
+    Settings settings = SettingsFile.read(options.valueOf(settingsFile), terminal);
+    try {
+      launcher.run(settings);
+      return ExitCode.DONE;
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      return ExitCode.DONE;
+    } catch (Exception e) {
+      logger.atSevere().withCause(e).log("the entry host cannot run");
+      throw new CommandException(ExitCode.REFUSED, "the entry host cannot run: " + e.getMessage());
+    }
+  }
+}
--- /dev/null
+++ b/server/src/main/java/org/clementinequay/server/cli/OutputFormat.java
@@ -0,0 +1,28 @@
+package org.clementinequay.server.cli;
+
+import joptsimple.OptionParser;
+import joptsimple.OptionSet;
+import joptsimple.OptionSpec;
+
+/** Form of a command's result. */
+enum OutputFormat {
+  TEXT,
+  JSON;
+
+  /** Declares the option {@code --output} of a command. */
+  static OptionSpec<String> declare(OptionParser parser) {
+    return parser
+        .accepts("output", "form of the result: text or json")
+        .withRequiredArg()
+        .defaultsTo("text");
+  }
+
+  /** Returns the chosen form. */
+  static OutputFormat of(OptionSet options, OptionSpec<String> spec) throws CommandException {
+    return switch (options.valueOf(spec)) {
+      case "text" -> TEXT;
+      case "json" -> JSON;
+      default -> throw new CommandException(ExitCode.USAGE, "--output must be text or json");
+    };
+  }
+}
--- /dev/null
+++ b/server/src/test/java/org/clementinequay/server/cli/CommandLineTest.java
@@ -0,0 +1,268 @@
+package org.clementinequay.server.cli;
+
+import static org.clementinequay.server.operator.OperatorServer.DOCUMENT;
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.io.ByteArrayOutputStream;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Base64;
+import java.util.List;
+import java.util.Map;
+import org.clementinequay.core.platform.AnswerLostException;
+import org.clementinequay.core.platform.PlatformUnavailableException;
+import org.clementinequay.server.operator.OperatorServer;
+import org.clementinequay.server.settings.PasswordHash;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Tests of the command line. */
+public final class CommandLineTest {
+  private static final String SETTINGS =
+      """
+      {"name": "e1", "domain": "a", "region": "pnw",
+       "listeners": {"callers": "127.0.0.1:0", "operators": "127.0.0.1:0", "peers": "127.0.0.1:0"},
+       "platform": {"tableService": "127.0.0.1:1", "objectStore": "127.0.0.1:1",
+         "hostDirectory": "127.0.0.1:1", "ratingService": "127.0.0.1:1"},
+       "sessionKeys": [{"id": "k", "secret": "SECRET"}]}
+      """
+          .replace("SECRET", Base64.getEncoder().encodeToString(new byte[32]));
+
+  /** Runs commands and keeps what they print. */
+  abstract static class Fixture {
+    final ByteArrayOutputStream out = new ByteArrayOutputStream();
+    final ByteArrayOutputStream err = new ByteArrayOutputStream();
+    final List<String> launched = new ArrayList<>();
+    private Path folder;
+
+    /** Creates a folder for documents. */
+    @BeforeMethod
+    public void createFolder() throws Exception {
+      folder = Files.createTempDirectory("cli");
+    }
+
+    /** Deletes the folder. */
+    @AfterMethod(alwaysRun = true)
+    public void deleteFolder() throws Exception {
+      try (var files = Files.list(folder)) {
+        for (Path file : files.toList()) {
+          Files.delete(file);
+        }
+      }
+      Files.delete(folder);
+    }
+
+    String file(String name, String text) throws Exception {
+      return Files.writeString(folder.resolve(name), text).toString();
+    }
+
+    ExitCode run(String... args) {
+      out.reset();
+      err.reset();
+      Terminal terminal =
+          new Terminal(
+              new PrintStream(out, true, StandardCharsets.UTF_8),
+              new PrintStream(err, true, StandardCharsets.UTF_8),
+              Map.of("CLEMENTINEQUAY_PASSWORD", OperatorServer.PASSWORD + "x".repeat(8)));
+      return new CommandLine(terminal, settings -> launched.add(settings.name())).run(args);
+    }
+
+    String out() {
+      return out.toString(StandardCharsets.UTF_8);
+    }
+
+    String err() {
+      return err.toString(StandardCharsets.UTF_8);
+    }
+  }
+
+  /** Commands that need no entry host. */
+  public static final class Offline extends Fixture {
+    /** Guards against commands without help, and against wrong exit codes of typing errors. */
+    @Test
+    public void everyCommandHasHelp() {
+      assertEquals(run("help"), ExitCode.DONE);
+      List<String> names =
+          List.of(
+              "entry",
+              "check",
+              "show",
+              "diff",
+              "apply",
+              "history",
+              "status",
+              "bill",
+              "password",
+              "version",
+              "help");
+      for (String name : names) {
+        assertTrue(out().contains("  " + name), name);
+      }
+      for (String name : names) {
+        assertEquals(run("help", name), ExitCode.DONE);
+        String help = out();
+        assertTrue(help.startsWith("Usage: clementinequay " + name), help);
+        assertEquals(run(name, "--help"), ExitCode.DONE);
+      }
+      assertEquals(run(), ExitCode.USAGE);
+      assertEquals(run("chek"), ExitCode.USAGE);
+      assertEquals(run("check", "--outptu", "json"), ExitCode.USAGE);
+      assertEquals(run("show"), ExitCode.USAGE);
+    }
+
+    /** Guards against a check that hides findings or reports success. */
+    @Test
+    public void checkPrintsFindings() throws Exception {
+      assertEquals(run("check", file("good.json", DOCUMENT)), ExitCode.DONE);
+      assertEquals(out(), "");
+      String bad = file("bad.json", DOCUMENT.replace("\"live\"", "\"alive\""));
+      assertEquals(run("check", bad), ExitCode.REFUSED);
+      assertTrue(out().startsWith(bad + ":5:29: error: must be one of"), out());
+      assertEquals(run("check", "--output", "json", bad), ExitCode.REFUSED);
+      assertTrue(out().contains("\"line\":5"), out());
+      assertEquals(run("check", "--output", "xml", bad), ExitCode.USAGE);
+      assertEquals(run("check", bad + ".missing"), ExitCode.USAGE);
+      assertEquals(run("check"), ExitCode.USAGE);
+    }
+
+    /** Guards against a host that starts with invalid settings. */
+    @Test
+    public void settingsAreCheckedBeforeTheHostStarts() throws Exception {
+      String good = file("good.json", SETTINGS);
+      String bad = file("bad.json", SETTINGS.replace("127.0.0.1:1\"", "platform\""));
+      assertEquals(run("check", "--settings", good), ExitCode.DONE);
+      assertEquals(run("check", "--settings", bad), ExitCode.USAGE);
+      assertEquals(out().lines().count(), 5);
+      assertEquals(run("entry", "--settings", bad), ExitCode.USAGE);
+      assertEquals(launched, List.of());
+      assertEquals(run("entry", "--settings", good), ExitCode.DONE);
+      assertEquals(launched, List.of("e1"));
+    }
+
+    /** Guards against a printed hash that the settings do not accept. */
+    @Test
+    public void passwordPrintsItsHash() {
+      assertEquals(run("password"), ExitCode.DONE);
+      PasswordHash hash = PasswordHash.parse(out().strip()).orElseThrow();
+      assertTrue(hash.matches((OperatorServer.PASSWORD + "x".repeat(8)).toCharArray()));
+    }
+  }
+
+  /** Commands that talk to an entry host. */
+  public static final class Remote extends Fixture {
+    private OperatorServer server;
+
+    /** Starts the operators' interface. */
+    @BeforeMethod
+    public void start() throws Exception {
+      server = new OperatorServer();
+    }
+
+    /** Stops the operators' interface. */
+    @AfterMethod(alwaysRun = true)
+    public void stop() throws Exception {
+      server.close();
+    }
+
+    private ExitCode remote(String operator, String command, String... args) {
+      List<String> all =
+          new ArrayList<>(List.of(command, "--host", server.address(), "--operator", operator));
+      all.addAll(Arrays.asList(args));
+      out.reset();
+      err.reset();
+      Terminal terminal =
+          new Terminal(
+              new PrintStream(out, true, StandardCharsets.UTF_8),
+              new PrintStream(err, true, StandardCharsets.UTF_8),
+              Map.of("CLEMENTINEQUAY_PASSWORD", OperatorServer.PASSWORD));
+      return new CommandLine(terminal, settings -> {}).run(all.toArray(String[]::new));
+    }
+
+    /** Guards against a race that a loser does not see, from the first show to the exit code. */
+    @Test
+    public void applyShowDiffHistoryAndLostRace() throws Exception {
+      String first = file("first.json", DOCUMENT);
+      String second = file("second.json", DOCUMENT.replace("\"slots\": 4", "\"slots\": 8"));
+      assertEquals(remote("asha", "apply", "--base", "0", first), ExitCode.DONE);
+      assertEquals(out(), "accepted as revision 1\n");
+      assertEquals(remote("asha", "show"), ExitCode.DONE);
+      assertEquals(out(), DOCUMENT);
+      assertTrue(err().startsWith("revision 1 of asha"), err());
+      assertEquals(remote("asha", "diff", second), ExitCode.DONE);
+      assertEquals(out(), "~ /upstreams/e1/slots: 4 -> 8\n");
+      assertEquals(remote("asha", "apply", "--base", "1", second), ExitCode.DONE);
+      assertEquals(remote("ben", "apply", "--base", "1", first), ExitCode.LOST_RACE);
+      assertTrue(err().contains("asha submitted revision 2"), err());
+      assertTrue(err().contains("~ /upstreams/e1/slots: 4 -> 8"), err());
+      assertEquals(remote("ben", "diff", "--from", "1", "--to", "2"), ExitCode.DONE);
+      assertEquals(out(), "~ /upstreams/e1/slots: 4 -> 8\n");
+      assertEquals(remote("ben", "history", "--limit", "1"), ExitCode.DONE);
+      assertTrue(out().endsWith("2         2026-12-04T11:59:00Z  asha      1\n"), out());
+      assertEquals(remote("ben", "history", "--output", "json"), ExitCode.DONE);
+      assertTrue(out().startsWith("{\"revisions\":[{\"revision\":2,"), out());
+    }
+
+    /** Guards against a faulty document that leaves the operator's machine. */
+    @Test
+    public void faultyDocumentIsNotSubmitted() throws Exception {
+      String bad = file("bad.json", "{\"modles\": []}");
+      assertEquals(remote("asha", "apply", "--base", "0", bad), ExitCode.REFUSED);
+      assertTrue(out().contains("did you mean \"models\"?"), out());
+    }
+
+    /** Guards against an unknown result that cannot be found out. */
+    @Test
+    public void submissionWithUnknownResultCanBeRepeated() throws Exception {
+      String document = file("first.json", DOCUMENT);
+      server.fail(new PlatformUnavailableException("down"), "commit");
+      assertEquals(
+          remote("asha", "apply", "--base", "0", "--submission-id", "s", document),
+          ExitCode.UNREACHABLE);
+      assertTrue(err().contains("--submission-id s"), err());
+      assertEquals(
+          remote("asha", "apply", "--base", "0", "--submission-id", "s", document), ExitCode.DONE);
+      assertEquals(out(), "accepted as revision 1\n");
+    }
+
+    /** Guards against wrong exit codes where the host, the platform or the password fails. */
+    @Test
+    public void failuresHaveTheirExitCodes() throws Exception {
+      assertEquals(remote("eve", "status"), ExitCode.REFUSED);
+      assertEquals(remote("asha", "show"), ExitCode.REFUSED);
+      server.fail(new AnswerLostException("timeout"), "");
+      assertEquals(remote("asha", "history"), ExitCode.UNREACHABLE);
+      String address = server.address();
+      server.close();
+      assertEquals(run("status", "--host", address, "--operator", "asha"), ExitCode.UNREACHABLE);
+      assertEquals(run("status", "--host", "not an address", "--operator", "asha"), ExitCode.USAGE);
+    }
+
+    /** Guards against states and bills that cannot be read at a glance. */
+    @Test
+    public void statusAndBillArePrinted() {
+      assertEquals(remote("asha", "status"), ExitCode.DONE);
+      assertTrue(out().contains("entry-1 in a (pnw): ready, revision 0"), out());
+      assertTrue(out().contains("entry-2"), out());
+      assertFalse(out().contains("stopped"), out());
+      assertEquals(
+          remote(
+              "asha",
+              "bill",
+              "--account",
+              "stalls",
+              "--from",
+              "2026-12-01T00:00:00Z",
+              "--to",
+              "2026-12-02T00:00:00Z"),
+          ExitCode.DONE);
+      assertTrue(out().contains("2 requests, total cost 70"), out());
+    }
+  }
+}
