--- /dev/null
+++ b/bench/src/main/java/org/clementinequay/bench/policy/PolicyBench.java
@@ -0,0 +1,61 @@
+package org.clementinequay.bench.policy;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.List;
+import joptsimple.OptionException;
+import joptsimple.OptionParser;
+import joptsimple.OptionSet;
+import joptsimple.OptionSpec;
+
+/** Compares the routing policies with their baselines on a virtual clock with fixed seeds. */
+public final class PolicyBench {
+  private static final String USAGE =
+      "usage: bench policy [cascade|rollout|placement|limits|all] [--seed N] [--out DIRECTORY]";
+
+  private PolicyBench() {}
+
+  /**
+   * Runs the measurements, prints their tables, and writes JSON files and SVG plots.
+   *
+   * @return exit code: 0 done, 2 usage error
+   * @throws IOException if a result file cannot be written
+   */
+  public static int run(List<String> args) throws IOException {
+    OptionParser parser = new OptionParser();
+    OptionSpec<Long> seed =
+        parser.accepts("seed").withRequiredArg().ofType(Long.class).defaultsTo(1L);
+    OptionSpec<String> out = parser.accepts("out").withRequiredArg().defaultsTo("docs/plots");
+    OptionSpec<String> names = parser.nonOptions();
+    OptionSet options;
+    try {
+      options = parser.parse(args.toArray(new String[0]));
+    } catch (OptionException e) {
+      System.err.println(e.getMessage());
+      System.err.println(USAGE);
+      return 2;
+    }
+    List<String> chosen = options.valuesOf(names);
+    List<String> all = List.of("cascade", "rollout", "placement", "limits");
+    if (chosen.isEmpty() || chosen.contains("all")) {
+      chosen = all;
+    }
+    if (!all.containsAll(chosen)) {
+      System.err.println(USAGE);
+      return 2;
+    }
+    for (String name : chosen) {
+      Results results = new Results(name, options.valueOf(seed), Path.of(options.valueOf(out)));
+      measure(name, results);
+      results.write();
+    }
+    return 0;
+  }
+
+  private static void measure(String name, Results results) throws IOException {
+    switch (name) {
+      case "cascade" -> new CascadeBench(results).run();
+      default -> throw new IllegalArgumentException(name);
+    }
+  }
+}
