Soak the spread of configuration revisions between hosts

Cause: R10 and R14 had no randomised run beyond the publisher. Four hosts with the real reader, keeper and revision spread read and exchange revisions; one of them is cut off from the platform once faults are over. Checked: no host moves back, documents belong to their revision, each accepted revision is in force within 5 s, and a host that misses one after 15 s counts as stale.

--- a/bench/src/main/java/org/clementinequay/bench/soak/BillingScenario.java
+++ b/bench/src/main/java/org/clementinequay/bench/soak/BillingScenario.java
@@ -36,8 +36,8 @@
 
 /**
  * Hosts bill requests while hosts are paused, cut off, and killed one at a time. Events, with the
- * request id: {@code worked} (the detail is the record) and {@code released} (the final event was
- * sent; the detail says how many hosts held the record).
+ * request id: {@code worked} (the detail is the record), {@code released} (the final event was sent
+ * and two hosts hold the record) and {@code released_single} (only its own host holds it).
  */
 final class BillingScenario {
   private static final int HOSTS = 4;
@@ -46,6 +46,10 @@
   private static final Duration REPLICATOR_TICK = Duration.ofMillis(50);
   private static final Duration SEALER_TICK = Duration.ofMillis(200);
   private static final Duration LONGEST_RELEASE = Duration.ofSeconds(60);
+
+  /** Time after the end of faults for links to come up and for avoided peers to be tried again. */
+  private static final Duration RECOVERY = Duration.ofSeconds(12);
+
   private static final Duration SETTLE = Duration.ofSeconds(40);
 
   /** Time before a kill in which copies that other faults cost are renewed. */
@@ -164,8 +168,9 @@
         offered = true;
         boolean early = run.mutated(Mutant.BILL_RELEASED_BEFORE_COPY);
         run.scheduler().await(() -> early || copied.isDone(), LONGEST_RELEASE);
-        String holders = early ? CopyResult.COPIED.name() : copied.join().name();
-        run.history().add(process.name(), "released", id, record.costMicros(), holders);
+        boolean single = !early && copied.join() == CopyResult.SINGLE;
+        String kind = single ? "released_single" : "released";
+        run.history().add(process.name(), kind, id, record.costMicros(), "");
       }
     }
 
@@ -268,22 +273,25 @@
     }
     Set<String> living = new HashSet<>();
     hosts.forEach(host -> living.add(host.incarnation.id()));
-    for (History.Event event : run.history().events("released")) {
-      boolean survived = living.contains(RequestId.parse(event.key()).incarnation().id());
-      boolean copied = event.detail().equals(CopyResult.COPIED.name());
-      if ((survived || copied) && !billed.containsKey(event.key())) {
-        run.violate("request is not billed: " + event);
+    for (String kind : List.of("released", "released_single")) {
+      for (History.Event event : run.history().events(kind)) {
+        boolean survived = living.contains(RequestId.parse(event.key()).incarnation().id());
+        boolean copied = kind.equals("released");
+        if ((survived || copied) && !billed.containsKey(event.key())) {
+          run.violate("request is not billed: " + event);
+        }
       }
     }
-    if (run.history().events("released").stream().noneMatch(e -> e.atNanos() > quiet())) {
+    long recovered = run.quietFromNanos() + RECOVERY.toNanos();
+    run.history().events("released_single").stream()
+        .filter(event -> event.atNanos() > recovered)
+        .forEach(event -> run.violate("no second copy although faults are over: " + event));
+    if (run.history().events("released").stream()
+        .noneMatch(e -> e.atNanos() > run.quietFromNanos())) {
       run.violate("no request was released after the end of faults");
     }
   }
 
-  private long quiet() {
-    return run.quietFromNanos();
-  }
-
   private List<String> billedLines() throws PlatformException {
     if (!run.mutated(Mutant.BILL_WITHOUT_UNION)) {
       BillStore store = new BillStore(run.platform().rows(), run.platform().objects());
--- a/bench/src/main/java/org/clementinequay/bench/soak/ConfigurationScenario.java
+++ b/bench/src/main/java/org/clementinequay/bench/soak/ConfigurationScenario.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.TreeMap;
 import org.clementinequay.core.platform.AnswerLostException;
 import org.clementinequay.core.platform.PlatformException;
 import org.clementinequay.core.platform.PlatformUnavailableException;
@@ -13,12 +14,14 @@
 import org.clementinequay.core.spread.ConfigurationPublisher;
 import org.clementinequay.core.spread.PublishResult;
 import org.clementinequay.core.spread.RevisionRecord;
+import org.clementinequay.core.spread.StalenessRule;
 import org.clementinequay.core.time.RuntimeClock;
 
 /**
  * Operators race to change the configuration while hosts read it. Events: {@code head} (a read
  * returned this revision; the detail is the virtual time of its start), {@code accepted}, {@code
- * superseded}, {@code refused} and {@code unknown} (answers to the submission in the key).
+ * superseded}, {@code refused} and {@code unknown} (answers to the submission in the key), and
+ * {@code in_force} (a host put the revision in force; the detail is the hash of the document).
  */
 final class ConfigurationScenario {
   private static final int OPERATORS = 3;
@@ -28,11 +31,20 @@
   /** Operators stop this long before the end, so that the last revision can spread. */
   private static final Duration SETTLE = Duration.ofSeconds(10);
 
+  private static final int HOSTS = 4;
+
+  /** Time within which an accepted revision must be in force on every live host. */
+  private static final long IN_FORCE_NANOS = Duration.ofSeconds(5).toNanos();
+
   private final SoakRun run;
+  private final FakeNetwork network;
+  private final List<ConfigurationHost> hosts = new ArrayList<>();
+  private final TreeMap<Long, Long> acceptedByTime = new TreeMap<>();
   private int submissions;
 
   ConfigurationScenario(SoakRun run) {
     this.run = run;
+    network = new FakeNetwork(run);
   }
 
   void execute() throws PlatformException {
@@ -42,6 +54,13 @@
       operators.add(operator);
       operator.start("edit", () -> operate(operator));
     }
+    for (int i = 0; i < HOSTS; i++) {
+      hosts.add(new ConfigurationHost(run, network, "host" + i, i == 0));
+    }
+    run.scheduler().observe(this::checkStaleness);
+    new ProcessFaults(
+            run, () -> hosts.stream().map(ConfigurationHost::process).toList(), this::restart)
+        .start(2, List.of(ProcessFaults.Kind.values()));
     new ProcessFaults(run, () -> operators, VirtualScheduler.Process::kill)
         .start(
             2,
@@ -53,6 +72,27 @@
     check();
   }
 
+  private void restart(VirtualScheduler.Process victim) {
+    victim.kill();
+    ConfigurationHost lost =
+        hosts.stream().filter(host -> host.process() == victim).findFirst().orElseThrow();
+    hosts.remove(lost);
+    hosts.add(new ConfigurationHost(run, network, victim.name() + "'", lost.cutOff()));
+  }
+
+  /** A host that does not know a revision after the staleness limit must know that it is stale. */
+  private void checkStaleness() {
+    long before = run.scheduler().nowNanos() - StalenessRule.LIMIT.toNanos();
+    Map.Entry<Long, Long> old = acceptedByTime.floorEntry(before);
+    for (ConfigurationHost host : hosts) {
+      if (old != null && !host.stale() && host.revision() < old.getValue()) {
+        run.violate(host.process().name() + " lacks " + old + " and does not count as stale");
+        acceptedByTime.clear();
+        return;
+      }
+    }
+  }
+
   private TableService publisherTable() {
     TableService table = run.platform().table();
     if (run.mutated(Mutant.HEAD_WITHOUT_COMPARE)) {
@@ -110,6 +150,10 @@
       }
     }
     run.history().add(operator.name(), kind, id, revision, Long.toString(base));
+    if (kind.equals("accepted")) {
+      long highest = acceptedByTime.isEmpty() ? 0 : acceptedByTime.lastEntry().getValue();
+      acceptedByTime.put(run.scheduler().nowNanos(), Math.max(highest, revision));
+    }
   }
 
   private void check() throws PlatformException {
@@ -137,6 +181,33 @@
     }
     checkAnswers(revisionBySubmission);
     checkHeadReads();
+    checkInForce(truth);
+  }
+
+  private void checkInForce(ConfigurationPublisher truth) throws PlatformException {
+    Map<String, TreeMap<Long, Long>> byHost = new HashMap<>();
+    for (History.Event event : run.history().events("in_force")) {
+      TreeMap<Long, Long> revisions =
+          byHost.computeIfAbsent(event.process(), host -> new TreeMap<>());
+      if (!revisions.isEmpty() && revisions.lastEntry().getValue() >= event.number()) {
+        run.violate("moved back from " + revisions.lastEntry().getValue() + ": " + event);
+      }
+      revisions.put(event.atNanos(), event.number());
+      Optional<RevisionRecord> row = truth.revision(event.number());
+      if (row.isEmpty() || !row.get().hash().equals(event.detail())) {
+        run.violate("not the document of the revision: " + event);
+      }
+    }
+    for (History.Event event : run.history().events("accepted")) {
+      long limit = Math.max(event.atNanos(), run.quietFromNanos()) + IN_FORCE_NANOS;
+      for (ConfigurationHost host : hosts) {
+        Map.Entry<Long, Long> known =
+            byHost.getOrDefault(host.process().name(), new TreeMap<>()).floorEntry(limit);
+        if (known == null || known.getValue() < event.number()) {
+          run.violate(host.process().name() + " had " + known + " 5 s after " + event);
+        }
+      }
+    }
   }
 
   private void checkAnswers(Map<String, Long> revisionBySubmission) {
--- a/bench/src/main/java/org/clementinequay/bench/soak/FakeNetwork.java
+++ b/bench/src/main/java/org/clementinequay/bench/soak/FakeNetwork.java
@@ -23,10 +23,13 @@
 final class FakeNetwork {
   private static final Duration DETECTION = Duration.ofSeconds(3);
   private static final Duration CHECK_INTERVAL = Duration.ofMillis(200);
-  private static final Duration QUIET_DELAY = Duration.ofMillis(5);
-  private static final Duration FAULT_DELAY = Duration.ofMillis(250);
+  private static final Duration USUAL_DELAY = Duration.ofMillis(5);
+  private static final Duration SLOW_DELAY = Duration.ofMillis(400);
   private static final Duration IDLE = Duration.ofHours(1);
 
+  /** One message in this number is slow while there are faults; those behind it wait. */
+  private static final int SLOW_ODDS = 50;
+
   /** One check in this number makes a healthy link silent while there are faults. */
   private static final int SILENCE_ODDS = 1_000;
 
@@ -161,10 +164,14 @@
     }
 
     private void post(Endpoint to, PeerMessage message) {
+      boolean revision = message instanceof PeerMessage.RevisionAnnounced;
+      if (revision && run.mutated(Mutant.REVISION_NOT_ANNOUNCED)) {
+        return;
+      }
       Link link = link(this, to);
-      long longest = (run.quiet() ? QUIET_DELAY : FAULT_DELAY).toNanos();
-      double part = Math.pow(run.random().nextDouble(), 3);
-      long earliest = run.scheduler().nowNanos() + (long) (longest * part);
+      boolean slow = !run.quiet() && run.random().nextInt(SLOW_ODDS) == 0;
+      long longest = (slow ? SLOW_DELAY : USUAL_DELAY).toNanos();
+      long earliest = run.scheduler().nowNanos() + run.random().nextLong(longest);
       long due = Math.max(earliest, link.lastDue.getOrDefault(to, 0L));
       link.lastDue.put(to, due);
       to.arrive(due, link, () -> to.receive(this, message));
--- a/bench/src/main/java/org/clementinequay/bench/soak/Mutant.java
+++ b/bench/src/main/java/org/clementinequay/bench/soak/Mutant.java
@@ -8,6 +8,14 @@
   HEAD_WITHOUT_COMPARE(Scenario.CONFIGURATION, "R10, R14"),
   /** A commit whose answer was lost counts as refused. */
   LOST_PUBLISH_AS_REFUSED(Scenario.CONFIGURATION, "R12, R28"),
+  /** A document of a peer is put in force whatever its revision. */
+  LOWER_REVISION_ACCEPTED(Scenario.CONFIGURATION, "R10"),
+  /** Hosts do not tell each other of revisions. */
+  REVISION_NOT_ANNOUNCED(Scenario.CONFIGURATION, "R10, R19"),
+  /** Hosts do not read the head row. */
+  HEAD_NOT_POLLED(Scenario.CONFIGURATION, "R10"),
+  /** A host that could not refresh its configuration goes on as before. */
+  STALENESS_IGNORED(Scenario.CONFIGURATION, "R2"),
   /** A claim is written whether or not the key is taken. */
   CLAIM_WITHOUT_INSERT_IF_ABSENT(Scenario.CLAIMS, "R7, R12"),
   /** A claim whose answer was lost counts as not written. */
--- a/bench/src/main/java/org/clementinequay/bench/soak/SoakRun.java
+++ b/bench/src/main/java/org/clementinequay/bench/soak/SoakRun.java
@@ -8,6 +8,15 @@
 
 /** One run of a scenario: its scheduler, platform and history, all derived from one seed. */
 public final class SoakRun implements AutoCloseable {
+  private static final String LOG_LEVEL = "clementinequay.log.level";
+
+  static {
+    // Injected faults would flood the log; it can still be turned on with this property.
+    if (System.getProperty(LOG_LEVEL) == null) {
+      System.setProperty(LOG_LEVEL, "off");
+    }
+  }
+
   private final long seed;
   private final Duration length;
   private final Optional<Mutant> mutant;
