--- a/bin/lib.sh
+++ b/bin/lib.sh
@@ -78,4 +78,4 @@
 
 # Only for stand-ins on loopback: a fixed key of session tokens and the hash of "quickstart".
 session_secret="MDEyMzQ1Njc4OWFiY2RlZjAxMjM0NTY3ODlhYmNkZWY="
-operator_hash="OPERATOR_HASH"
+operator_hash='pbkdf2-sha256$600000$RUAPh/ifHa+fKAvcoh0e0Q==$0+xa7ijxP6b44We3h+itHJsa1C2xuLeiLO0eQOIWaDM='
--- a/server/src/main/java/org/clementinequay/server/Main.java
+++ b/server/src/main/java/org/clementinequay/server/Main.java
@@ -1,11 +1,15 @@
 package org.clementinequay.server;
 
-/** Entry point. */
+import org.clementinequay.server.cli.CommandLine;
+import org.clementinequay.server.cli.Terminal;
+import org.clementinequay.server.entry.EntryProcess;
+
+/** Entry point of the program. */
 public final class Main {
   private Main() {}
 
-  /** Runs the command line. */
+  /** Runs the command line and exits with its code. */
   public static void main(String[] args) {
-    System.exit(2);
+    System.exit(new CommandLine(Terminal.system(), new EntryProcess()).run(args).number());
   }
 }
