--- a/server/src/main/java/org/clementinequay/server/cli/ApplyCommand.java
+++ b/server/src/main/java/org/clementinequay/server/cli/ApplyCommand.java
@@ -20,7 +20,7 @@
           .accepts("base", "revision that the file was made from; 0 for the first document")
           .withRequiredArg()
           .ofType(Long.class)
-          .required();
+          .defaultsTo(0L);
   private final OptionSpec<String> submission =
       parser
           .accepts("submission-id", "id of an earlier submission with unknown result, to repeat it")
@@ -35,7 +35,7 @@
 
   @Override
   public String arguments() {
-    return "--host ADDRESS --operator NAME --base N FILE";
+    return "--host ADDRESS --operator NAME [--base N] FILE";
   }
 
   @Override
