--- a/server/src/main/java/org/clementinequay/server/operator/ConfigurationDesk.java
+++ b/server/src/main/java/org/clementinequay/server/operator/ConfigurationDesk.java
@@ -106,7 +106,12 @@
     }
   }
 
-  private Optional<RouterConfiguration> configuration(long revision) throws PlatformException {
+  /**
+   * Returns the configuration of a revision, the empty one for 0.
+   *
+   * @return empty if the document is not available or has errors
+   */
+  public Optional<RouterConfiguration> configuration(long revision) throws PlatformException {
     if (revision == 0) {
       return Optional.of(RouterConfiguration.builder().build());
     }
