--- a/server/src/main/java/org/clementinequay/server/peer/Dialler.java
+++ b/server/src/main/java/org/clementinequay/server/peer/Dialler.java
@@ -17,11 +17,18 @@
 final class Dialler {
   private static final int MAX_DOUBLINGS = 10;
 
+  private final String self;
   private final PeerTimings timings;
   private final RandomGenerator random;
   private final Map<String, Attempts> attempts = new HashMap<>();
 
-  Dialler(PeerTimings timings, RandomGenerator random) {
+  /**
+   * Creates a dialler without targets.
+   *
+   * @param self name of this host
+   */
+  Dialler(String self, PeerTimings timings, RandomGenerator random) {
+    this.self = self;
     this.timings = timings;
     this.random = random;
   }
@@ -45,10 +52,11 @@
       Function<HostEntry, PeerLink> open,
       long nowNanos) {
     for (HostEntry target : targets) {
-      Attempts state = attempts.computeIfAbsent(target.name(), name -> first(nowNanos));
+      Attempts state = attempts.computeIfAbsent(target.name(), name -> first(name, nowNanos));
       if (isLinked.test(target.name())) {
         state.failures = 0;
-        state.notBeforeNanos = nowNanos + jittered(timings.firstBackOff()).toNanos();
+        state.notBeforeNanos =
+            nowNanos + jittered(timings.firstBackOff()).plus(delay(target.name())).toNanos();
       } else if (isDue(state, nowNanos)) {
         state.notBeforeNanos = nowNanos + jittered(backOff(state.failures)).toNanos();
         state.failures++;
@@ -58,12 +66,16 @@
     attempts.keySet().removeIf(name -> targets.stream().noneMatch(t -> t.name().equals(name)));
   }
 
-  private static Attempts first(long nowNanos) {
+  private Attempts first(String target, long nowNanos) {
     Attempts state = new Attempts();
-    state.notBeforeNanos = nowNanos;
+    state.notBeforeNanos = nowNanos + delay(target).toNanos();
     return state;
   }
 
+  private Duration delay(String target) {
+    return self.compareTo(target) > 0 ? timings.secondDialDelay() : Duration.ZERO;
+  }
+
   private static boolean isDue(Attempts state, long nowNanos) {
     boolean busy = state.current != null && !state.current.isEnded();
     return !busy && nowNanos - state.notBeforeNanos >= 0;
--- a/server/src/main/java/org/clementinequay/server/peer/HeartbeatContent.java
+++ b/server/src/main/java/org/clementinequay/server/peer/HeartbeatContent.java
@@ -10,7 +10,8 @@
  */
 public record HeartbeatContent(
     long revision, boolean leaving, long requestsInProgress, double demand) {
-  PeerMessage.Heartbeat message(long sequence) {
-    return new PeerMessage.Heartbeat(sequence, revision, leaving, requestsInProgress, demand);
+  PeerMessage.Heartbeat message(long sequence, long answered, long heldMicros) {
+    return new PeerMessage.Heartbeat(
+        sequence, answered, heldMicros, revision, leaving, requestsInProgress, demand);
   }
 }
--- a/server/src/main/java/org/clementinequay/server/peer/PeerLink.java
+++ b/server/src/main/java/org/clementinequay/server/peer/PeerLink.java
@@ -81,8 +81,11 @@
   private volatile PeerIdentity remote;
   private volatile PeerNetwork.Peer peer;
   private volatile boolean admitted;
-  private long lastSequence;
+  private long lastSequence = -1;
   private long lastSentNanos;
+  private long lastAnswered = -1;
+  private long lastHeard = -1;
+  private long lastHeardNanos;
 
   /**
    * Creates a link that is not open yet.
@@ -152,7 +155,7 @@
     remote = identity;
     peer = describe(0, 0, false);
     writer = Threads.start("peer-writer-" + identity.host(), () -> write(out));
-    beat(0, owner.heartbeat().message(0));
+    beat(owner.heartbeat());
     while (!ended.get()) {
       Optional<PeerMessage> message = next(in, FrameCodec.MAX_FRAME_BYTES);
       if (message.isPresent() && !handle(message.get())) {
@@ -174,9 +177,12 @@
 
   private boolean handle(PeerMessage message) throws IOException {
     if (message instanceof PeerMessage.Heartbeat heartbeat) {
-      acknowledge(heartbeat);
+      heard(heartbeat);
+      if (!answered(heartbeat.answered(), heartbeat.heldMicros())) {
+        return false;
+      }
     } else if (message instanceof PeerMessage.HeartbeatAck ack) {
-      if (!acknowledged(ack)) {
+      if (!answered(ack.answered(), 0)) {
         return false;
       }
     } else if (message instanceof PeerMessage.Hello || !admitted) {
@@ -188,29 +194,34 @@
     return true;
   }
 
-  private void acknowledge(PeerMessage.Heartbeat heartbeat) throws IOException {
-    long revision = owner.heartbeat().revision();
-    offer(FrameCodec.encode(new PeerMessage.HeartbeatAck(heartbeat.sequence(), revision)));
+  private void heard(PeerMessage.Heartbeat heartbeat) throws IOException {
+    boolean first;
     synchronized (this) {
+      first = lastHeard < 0;
+      lastHeard = heartbeat.sequence();
+      lastHeardNanos = clock.nanoTime();
       detector.reportedLeaving(heartbeat.leaving());
       peer = describe(peer.roundTripNanos(), heartbeat.revision(), heartbeat.leaving());
     }
+    if (first) {
+      // The other end's link is not up before an answer; it should not wait for an interval.
+      long revision = owner.heartbeat().revision();
+      offer(FrameCodec.encode(new PeerMessage.HeartbeatAck(heartbeat.sequence(), revision)));
+    }
   }
 
-  private boolean acknowledged(PeerMessage.HeartbeatAck ack) {
+  /** Takes up an answer to a heartbeat; returns false if the link is refused for it. */
+  private boolean answered(long sequence, long heldMicros) {
     long now = clock.nanoTime();
     synchronized (this) {
-      if (ack.sequence() < 0 || ack.sequence() > lastSequence) {
+      if (sequence < 0 || sequence > lastSequence || sequence < lastAnswered) {
         return true;
       }
-      detector.progress(now);
-      long roundTrip = peer.roundTripNanos();
-      if (ack.sequence() == lastSequence) {
-        long sample = Math.max(1, now - lastSentNanos);
-        roundTrip =
-            roundTrip == 0 ? sample : roundTrip + ((sample - roundTrip) >> ROUND_TRIP_SHIFT);
+      if (sequence > lastAnswered) {
+        lastAnswered = sequence;
+        detector.progress(now);
+        sample(sequence, now, heldMicros);
       }
-      peer = describe(roundTrip, ack.revision(), false);
     }
     if (!admitted) {
       admitted = owner.admit(this);
@@ -218,6 +229,17 @@
     return admitted;
   }
 
+  private void sample(long sequence, long now, long heldMicros) {
+    if (sequence != lastSequence) {
+      return;
+    }
+    long sample = Math.max(1, now - lastSentNanos - TimeUnit.MICROSECONDS.toNanos(heldMicros));
+    long roundTrip = peer.roundTripNanos();
+    long smoothed =
+        roundTrip == 0 ? sample : roundTrip + ((sample - roundTrip) >> ROUND_TRIP_SHIFT);
+    peer = describe(smoothed, peer.revision(), false);
+  }
+
   private PeerNetwork.Peer describe(long roundTripNanos, long revision, boolean leaving) {
     boolean known = peer != null;
     return new PeerNetwork.Peer(
@@ -232,17 +254,13 @@
   }
 
   /** Queues a heartbeat; an answer to it counts as progress. */
-  void beat(long sequence, PeerMessage.Heartbeat heartbeat) throws IOException {
-    beat(sequence, FrameCodec.encode(heartbeat));
-  }
-
-  /** Queues an encoded heartbeat, so that one encoding serves all links. */
-  void beat(long sequence, byte[] frame) {
+  void beat(HeartbeatContent content) throws IOException {
     synchronized (this) {
-      lastSequence = sequence;
+      lastSequence++;
       lastSentNanos = clock.nanoTime();
+      long held = TimeUnit.NANOSECONDS.toMicros(lastSentNanos - lastHeardNanos);
+      offer(FrameCodec.encode(content.message(lastSequence, lastHeard, lastHeard < 0 ? 0 : held)));
     }
-    offer(frame);
   }
 
   /** Queues a frame without blocking; returns false if it cannot be sent. */
--- a/server/src/main/java/org/clementinequay/server/peer/PeerMessage.java
+++ b/server/src/main/java/org/clementinequay/server/peer/PeerMessage.java
@@ -1,5 +1,6 @@
 package org.clementinequay.server.peer;
 
+import com.fasterxml.jackson.annotation.JsonProperty;
 import com.fasterxml.jackson.annotation.JsonSubTypes;
 import com.fasterxml.jackson.annotation.JsonTypeInfo;
 import java.util.List;
@@ -11,8 +12,8 @@
 @JsonTypeInfo(use = JsonTypeInfo.Id.NAME, property = "t")
 @JsonSubTypes({
   @JsonSubTypes.Type(value = PeerMessage.Hello.class, name = "hello"),
-  @JsonSubTypes.Type(value = PeerMessage.Heartbeat.class, name = "heartbeat"),
-  @JsonSubTypes.Type(value = PeerMessage.HeartbeatAck.class, name = "heartbeat_ack"),
+  @JsonSubTypes.Type(value = PeerMessage.Heartbeat.class, name = "hb"),
+  @JsonSubTypes.Type(value = PeerMessage.HeartbeatAck.class, name = "ha"),
   @JsonSubTypes.Type(value = PeerMessage.RevisionAnnounced.class, name = "revision"),
   @JsonSubTypes.Type(value = PeerMessage.DocumentRequest.class, name = "document_request"),
   @JsonSubTypes.Type(value = PeerMessage.DocumentReply.class, name = "document_reply"),
@@ -29,13 +30,32 @@
       int protocol, String incarnation, String host, String domain, String region, double weight)
       implements PeerMessage {}
 
-  /** Sent at a fixed interval; carries what every peer needs to know of the sender. */
+  /**
+   * Sent at a fixed interval; carries what every peer needs to know of the sender, and answers the
+   * last heartbeat of the receiver. A separate answer to each would double the packets and wake-ups
+   * of a link. Names are short because heartbeats are most of the traffic between idle hosts.
+   *
+   * @param sequence number of the heartbeat on this link
+   * @param answered sequence of the last heartbeat that the sender received, -1 if none
+   * @param heldMicros time from receiving that one until this one was sent, in microseconds
+   * @param revision the configuration revision in force at the sender, 0 if none
+   * @param leaving whether the sender is shutting down
+   * @param requestsInProgress number of callers' requests in progress
+   * @param demand load offered to the sender relative to its size
+   */
   record Heartbeat(
-      long sequence, long revision, boolean leaving, long requestsInProgress, double demand)
+      @JsonProperty("s") long sequence,
+      @JsonProperty("a") long answered,
+      @JsonProperty("h") long heldMicros,
+      @JsonProperty("r") long revision,
+      @JsonProperty("l") boolean leaving,
+      @JsonProperty("q") long requestsInProgress,
+      @JsonProperty("d") double demand)
       implements PeerMessage {}
 
-  /** Answer to a heartbeat; gives the sender the round-trip time. */
-  record HeartbeatAck(long sequence, long revision) implements PeerMessage {}
+  /** Immediate answer to a heartbeat, sent until the link is up; later ones are answered by one. */
+  record HeartbeatAck(@JsonProperty("a") long answered, @JsonProperty("r") long revision)
+      implements PeerMessage {}
 
   /** The sender knows of this configuration revision. */
   record RevisionAnnounced(long revision, String hash) implements PeerMessage {}
--- a/server/src/main/java/org/clementinequay/server/peer/PeerTimings.java
+++ b/server/src/main/java/org/clementinequay/server/peer/PeerTimings.java
@@ -11,6 +11,8 @@
  * @param handshakeTimeout longest time from opening a connection until the link is up
  * @param firstBackOff mean pause before the second attempt to reach a host; doubles each time
  * @param longestBackOff greatest mean pause between attempts
+ * @param secondDialDelay time by which the end with the greater name dials later, so that both ends
+ *     rarely open a connection at once
  * @param hostListInterval time between two readings of the platform's host list
  */
 public record PeerTimings(
@@ -19,6 +21,7 @@
     Duration handshakeTimeout,
     Duration firstBackOff,
     Duration longestBackOff,
+    Duration secondDialDelay,
     Duration hostListInterval) {
 
   /** The intervals of a running deployment. */
@@ -30,5 +33,6 @@
           Duration.ofMillis(200),
           // A partition between regions lasts minutes; its end should be noticed within seconds.
           Duration.ofSeconds(5),
+          Duration.ofSeconds(1),
           Duration.ofSeconds(2));
 }
--- a/server/src/main/java/org/clementinequay/server/peer/RevisionSpread.java
+++ b/server/src/main/java/org/clementinequay/server/peer/RevisionSpread.java
@@ -28,7 +28,7 @@
    * Time after which another peer is asked for the same revision; a full mesh announces a revision
    * dozens of times, and one document is enough.
    */
-  private static final Duration REQUEST_TIMEOUT = Duration.ofSeconds(1);
+  private static final Duration REQUEST_TIMEOUT = Duration.ofMillis(500);
 
   /** Peers that are asked at once when the object store has no document. */
   private static final int PEERS_ASKED = 2;
@@ -43,6 +43,7 @@
   private final MpscBlockingConsumerArrayQueue<PeerMessage.DocumentReply> replies =
       new MpscBlockingConsumerArrayQueue<>(QUEUE);
   private Thread worker;
+  private volatile RevisionedConfiguration announced;
   private long requestedRevision;
   private long requestedNanos;
 
@@ -74,6 +75,8 @@
   }
 
   private void announce(RevisionedConfiguration offered) {
+    // Peers ask for the document as soon as they hear of it, which may be before it is applied.
+    announced = offered;
     network.broadcast(new PeerMessage.RevisionAnnounced(offered.revision(), offered.hash()));
   }
 
@@ -91,8 +94,8 @@
   public void received(PeerNetwork.Peer from, PeerMessage message) {
     if (message instanceof PeerMessage.Heartbeat heartbeat) {
       noticed(from.incarnation(), heartbeat.revision());
-    } else if (message instanceof PeerMessage.RevisionAnnounced announced) {
-      noticed(from.incarnation(), announced.revision());
+    } else if (message instanceof PeerMessage.RevisionAnnounced newer) {
+      noticed(from.incarnation(), newer.revision());
     } else if (message instanceof PeerMessage.DocumentRequest request) {
       answer(from.incarnation(), request.revision());
     } else if (message instanceof PeerMessage.DocumentReply reply && !replies.offer(reply)) {
@@ -131,12 +134,10 @@
   }
 
   private void answer(Incarnation peer, long revision) {
-    Optional<RevisionedConfiguration> inForce = keeper.current();
-    if (inForce.isPresent() && inForce.get().revision() >= revision) {
+    RevisionedConfiguration newest = announced;
+    if (newest != null && newest.revision() >= revision) {
       network.send(
-          peer,
-          new PeerMessage.DocumentReply(
-              inForce.get().revision(), inForce.get().hash(), inForce.get().text()));
+          peer, new PeerMessage.DocumentReply(newest.revision(), newest.hash(), newest.text()));
     }
   }
 
--- a/server/src/main/java/org/clementinequay/server/peer/TcpPeerNetwork.java
+++ b/server/src/main/java/org/clementinequay/server/peer/TcpPeerNetwork.java
@@ -16,7 +16,6 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
-import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
@@ -70,7 +69,6 @@
   private final Set<PeerLink> pending = ConcurrentHashMap.newKeySet();
   private final List<Listener> listeners = new CopyOnWriteArrayList<>();
   private final List<Thread> duties = new ArrayList<>();
-  private final AtomicLong heartbeats = new AtomicLong();
   private final AtomicBoolean closed = new AtomicBoolean();
   private final Object linkChanges = new Object();
   private final PeerLink.Owner owner = new LinkOwner();
@@ -83,7 +81,7 @@
     this.directory = Objects.requireNonNull(builder.directory, "host directory");
     this.content = builder.content;
     this.sockets = new PeerSockets(builder.tls, timings.handshakeTimeout());
-    this.dialler = new Dialler(timings, builder.random);
+    this.dialler = new Dialler(self.host(), timings, builder.random);
     this.table =
         new LinkTable(self.incarnation(), QUIET_HEARTBEATS * timings.heartbeatInterval().toNanos());
     this.server = new ServerSocket();
@@ -279,11 +277,10 @@
         link.end(PeerLink.End.SILENT);
       }
     }
-    synchronized (heartbeats) {
-      long sequence = heartbeats.incrementAndGet();
+    HeartbeatContent current = content.get();
+    for (PeerLink link : table.links()) {
       try {
-        byte[] frame = FrameCodec.encode(content.get().message(sequence));
-        table.links().forEach(link -> link.beat(sequence, frame));
+        link.beat(current);
       } catch (IOException e) {
         logger.atSevere().withCause(e).log("cannot encode a heartbeat");
       }
--- a/server/src/test/java/org/clementinequay/server/peer/TestHost.java
+++ b/server/src/test/java/org/clementinequay/server/peer/TestHost.java
@@ -24,6 +24,7 @@
           Duration.ofSeconds(10),
           Duration.ofMillis(20),
           Duration.ofMillis(200),
+          Duration.ZERO,
           Duration.ofMillis(50));
 
   final PeerIdentity identity;
