--- a/bench/src/main/java/org/clementinequay/bench/soak/ConfigurationHost.java
+++ b/bench/src/main/java/org/clementinequay/bench/soak/ConfigurationHost.java
@@ -116,7 +116,8 @@
     boolean silent = run.mutated(Mutant.REVISION_NOT_ANNOUNCED);
     while (true) {
       sequence++;
-      links.broadcast(new PeerMessage.Heartbeat(sequence, silent ? 0 : revision(), false, 0, 0));
+      links.broadcast(
+          new PeerMessage.Heartbeat(sequence, -1, 0, silent ? 0 : revision(), false, 0, 0));
       run.scheduler().sleep(HEARTBEAT);
     }
   }
