--- a/bench/src/main/java/org/clementinequay/bench/soak/VirtualScheduler.java
+++ b/bench/src/main/java/org/clementinequay/bench/soak/VirtualScheduler.java
@@ -96,6 +96,7 @@
     private boolean killed;
     private boolean partitioned;
     private int pauses;
+    private int partitions;
     private double clockRate = 1;
     private Duration wallOffset = Duration.ZERO;
 
@@ -154,6 +155,12 @@
     /** Cuts the process off from other processes and the platform, or reconnects it. */
     public void partition(boolean value) {
       partitioned = value;
+      partitions += value ? 1 : 0;
+    }
+
+    /** Returns how often the process was cut off so far. */
+    public int partitions() {
+      return partitions;
     }
 
     /** Returns whether the process is cut off. */
