--- a/core/src/main/java/org/clementinequay/core/claim/ClaimAttempt.java
+++ b/core/src/main/java/org/clementinequay/core/claim/ClaimAttempt.java
@@ -17,6 +17,7 @@
   private final CompletableFuture<ClaimResult> result = new CompletableFuture<>();
   private volatile StoredAnswer answer;
   private volatile boolean released;
+  private volatile boolean recorded;
 
   // Written by the thread that runs the rounds of ClaimService.
   private volatile Row replaces;
@@ -83,6 +84,16 @@
     answer = stored;
   }
 
+  /** Records that the answer is in the store, and drops it from memory. */
+  void markRecorded() {
+    recorded = true;
+    answer = null;
+  }
+
+  boolean recorded() {
+    return recorded;
+  }
+
   Optional<StoredAnswer> answer() {
     return Optional.ofNullable(answer);
   }
--- a/core/src/main/java/org/clementinequay/core/claim/ClaimService.java
+++ b/core/src/main/java/org/clementinequay/core/claim/ClaimService.java
@@ -81,7 +81,7 @@
    * if it is abandoned in the meantime.
    */
   public ClaimAttempt open(ClaimRequest request) {
-    ClaimToken token = new ClaimToken(self, lastNumber.incrementAndGet());
+    ClaimToken token = nextToken();
     ClaimAttempt attempt = new ClaimAttempt(request, token, clock.now());
     if (tokens.size() >= MAX_TOKENS) {
       attempt.abandon();
@@ -91,6 +91,11 @@
     return attempt;
   }
 
+  /** Returns a token that no other attempt of this process has. */
+  ClaimToken nextToken() {
+    return new ClaimToken(self, lastNumber.incrementAndGet());
+  }
+
   /** Claims a batch and blocks until every claim is decided. */
   public List<ClaimResult> claim(List<ClaimRequest> requests) throws InterruptedException {
     List<ClaimAttempt> attempts = requests.stream().map(this::open).toList();
@@ -279,12 +284,13 @@
       if (!ready.isEmpty()) {
         store.complete(rows, ready.stream().map(attempt -> attempt.request().key()).toList());
         ready.forEach(attempt -> tokens.remove(attempt.token()));
+        ready.forEach(ClaimAttempt::markRecorded);
       }
       if (offloadFailure != null) {
         throw offloadFailure;
       }
     } finally {
-      batch.stream().filter(this::remembered).forEach(unrecorded::add);
+      batch.stream().filter(attempt -> !attempt.recorded()).forEach(unrecorded::add);
     }
   }
 
@@ -335,6 +341,22 @@
     return tokens.containsKey(attempt.token());
   }
 
+  /**
+   * Reads what is recorded for a key without claiming it.
+   *
+   * @throws PlatformException if the row could not be read
+   */
+  public Optional<ClaimResult> lookUp(ClaimRequest request) throws PlatformException {
+    return store
+        .read(request.key())
+        .flatMap(ClaimRow::readable)
+        .map(
+            content ->
+                content.bodyHash().equals(request.bodyHash())
+                    ? content.state().answerToRepeat(content)
+                    : new ClaimResult.Refused(RefusalReason.IDEMPOTENCY_KEY_REUSED));
+  }
+
   /**
    * Reads the body of an answer that is in the object store.
    *
