Serve the console on the operators' listener; refuse to start on used ports

Cause: quickstart once talked to another stand-in that held its port and showed a foreign configuration. Ruled out: a fault of the compare-and-set, which refused rightly.

--- a/bin/lib.sh
+++ b/bin/lib.sh
@@ -14,6 +14,17 @@
   fi
 }
 
+# require_free PORT...: ends the script if something listens on one of the loopback ports.
+require_free() {
+  local port
+  for port in "$@"; do
+    if (exec 3<>"/dev/tcp/127.0.0.1/$port") 2>/dev/null; then
+      echo "loopback port $port is in use; end what listens there first" >&2
+      exit 1
+    fi
+  done
+}
+
 # start NAME COMMAND...: runs a command in the background; output goes to $work/NAME.log.
 start() {
   local name="$1"
--- a/server/src/main/java/org/clementinequay/server/entry/EntryHost.java
+++ b/server/src/main/java/org/clementinequay/server/entry/EntryHost.java
@@ -16,6 +16,7 @@
 import org.clementinequay.core.time.RuntimeClock;
 import org.clementinequay.core.time.SystemClock;
 import org.clementinequay.server.billing.BillingMetrics;
+import org.clementinequay.server.console.ConsoleHandler;
 import org.clementinequay.server.document.DocumentParser;
 import org.clementinequay.server.metrics.RouterMetrics;
 import org.clementinequay.server.operator.ConfigurationDesk;
@@ -27,6 +28,7 @@
 import org.clementinequay.server.peer.RevisionSpread;
 import org.clementinequay.server.peer.TcpPeerNetwork;
 import org.clementinequay.server.settings.Settings;
+import org.eclipse.jetty.server.Handler;
 import org.eclipse.jetty.server.Server;
 
 /** One entry host: wires its parts together, starts them, and stops them gracefully. */
@@ -105,14 +107,13 @@
         .build();
   }
 
-  private OperatorHandler operators(ConfigurationPublisher publisher) {
+  private Handler operators(ConfigurationPublisher publisher) {
+    OperatorLogins logins = new OperatorLogins(settings.operators());
     ConfigurationDesk desk = new ConfigurationDesk(publisher, this::accepted);
-    return new OperatorHandler(
-        new OperatorLogins(settings.operators()),
-        desk,
-        new EntryView(this),
-        new TableBills(platform),
-        metrics::scrape);
+    EntryView view = new EntryView(this);
+    OperatorHandler api =
+        new OperatorHandler(logins, desk, view, new TableBills(platform), metrics::scrape);
+    return new Handler.Sequence(new ConsoleHandler(logins, desk, view, clock), api);
   }
 
   private void registerGauges() {
