Keep hosts usable during upgrades and password floods

Three faults found in review. A host refused an accepted document whose keys or checks came from another release, and could then not serve; parseAccepted ignores unknown keys and does not repeat the checks. A flood of wrong passwords could occupy all operator threads, which also answer the readiness check; waiting checks are now bounded and the rest get 503. Settings with tls were accepted while the listeners speak plain HTTP; entry now refuses to start with them.

--- a/server/src/main/java/org/clementinequay/server/cli/DiffCommand.java
+++ b/server/src/main/java/org/clementinequay/server/cli/DiffCommand.java
@@ -57,11 +57,10 @@
       throw new CommandException(ExitCode.USAGE, "name one FILE, or --to N");
     }
     OperatorClient client = remote.connect(options, terminal);
-    RouterConfiguration before =
-        parse("the earlier document", document(client, options.valueOf(from)), terminal);
+    RouterConfiguration before = document(client, options.valueOf(from));
     RouterConfiguration after =
         files.isEmpty()
-            ? parse("the later document", document(client, options.valueOf(to)), terminal)
+            ? document(client, options.valueOf(to))
             : parse(files.get(0), TextFiles.read(files.get(0)), terminal);
     List<ConfigurationDiff.Change> changes = ConfigurationDiff.between(before, after);
     if (format == OutputFormat.JSON) {
@@ -74,9 +73,13 @@
     return ExitCode.DONE;
   }
 
-  private static String document(OperatorClient client, Long revision) throws CommandException {
+  private static RouterConfiguration document(OperatorClient client, Long revision)
+      throws CommandException {
     Map<String, String> query = revision == null ? Map.of() : Map.of("revision", "" + revision);
-    return client.read("/api/configuration", query).path("document").asText();
+    String text = client.read("/api/configuration", query).path("document").asText();
+    return DocumentParser.parseAccepted(text)
+        .orElseThrow(
+            () -> new CommandException(ExitCode.REFUSED, "an accepted document cannot be read"));
   }
 
   private static RouterConfiguration parse(String name, String text, Terminal terminal)
--- a/server/src/main/java/org/clementinequay/server/cli/HostLauncher.java
+++ b/server/src/main/java/org/clementinequay/server/cli/HostLauncher.java
@@ -1,6 +1,7 @@
 package org.clementinequay.server.cli;
 
 import com.google.common.flogger.FluentLogger;
+import java.io.IOException;
 import java.util.concurrent.CountDownLatch;
 import org.clementinequay.server.entry.EntryHost;
 import org.clementinequay.server.settings.Settings;
@@ -14,6 +15,10 @@
 
   @Override
   public void run(Settings settings) throws Exception {
+    if (settings.tls().isPresent()) {
+      // Plain HTTP in its place would send passwords and keys in the clear without notice.
+      throw new IOException("the listeners do not support \"tls\" yet");
+    }
     EntryHost host = new EntryHost(settings);
     CountDownLatch stopped = new CountDownLatch(1);
     Thread hook = new Thread(() -> stop(host, stopped), "shutdown");
--- a/server/src/main/java/org/clementinequay/server/console/ConsoleHandler.java
+++ b/server/src/main/java/org/clementinequay/server/console/ConsoleHandler.java
@@ -11,6 +11,7 @@
 import org.clementinequay.core.time.RuntimeClock;
 import org.clementinequay.server.operator.ConfigurationDesk;
 import org.clementinequay.server.operator.HostView;
+import org.clementinequay.server.operator.LoginsBusyException;
 import org.clementinequay.server.operator.OperatorLogins;
 import org.eclipse.jetty.http.HttpCookie;
 import org.eclipse.jetty.server.FormFields;
@@ -84,6 +85,8 @@
       return post
           ? post(request, path, id.get(), session.get())
           : page(request, path, session.get());
+    } catch (LoginsBusyException e) {
+      return ConsoleReply.page(503, ConsolePages.signIn(e.getMessage()));
     } catch (PlatformException e) {
       logger.atWarning().log("the console cannot reach the platform: %s", e.getMessage());
       return ConsoleReply.page(
@@ -98,7 +101,7 @@
     }
   }
 
-  private ConsoleReply signIn(Request request) {
+  private ConsoleReply signIn(Request request) throws LoginsBusyException {
     Fields form = FormFields.getFields(request, MAX_FIELDS, MAX_FORM_BYTES);
     String name = form.getValue("name");
     String password = form.getValue("password");
--- a/server/src/main/java/org/clementinequay/server/document/DocumentParser.java
+++ b/server/src/main/java/org/clementinequay/server/document/DocumentParser.java
@@ -8,6 +8,7 @@
 import org.clementinequay.core.config.Finding;
 import org.clementinequay.core.config.ObjectiveWeights;
 import org.clementinequay.core.config.RouterConfiguration;
+import org.clementinequay.core.config.Severity;
 import org.clementinequay.core.config.Upstream;
 import org.clementinequay.core.config.VersionSpec;
 import org.clementinequay.core.config.VersionState;
@@ -43,7 +44,8 @@
       return new ParsedDocument(Optional.empty(), findings);
     }
     RouterConfiguration configuration =
-        new RecordBinder(RULES, findings).bind(root.get(), RouterConfiguration.class);
+        new RecordBinder(RULES, Severity.ERROR, findings)
+            .bind(root.get(), RouterConfiguration.class);
     List<Finding> faults = ConfigurationValidator.validate(configuration);
     for (Finding fault : RecordBinder.withoutConsequences(faults, List.copyOf(findings))) {
       LocatedValue.Place place = root.get().findNearest(fault.pointer()).place();
@@ -53,4 +55,22 @@
     return new ParsedDocument(
         Finding.hasErrors(findings) ? Optional.empty() : Optional.of(configuration), findings);
   }
+
+  /**
+   * Parses a document that was accepted already. During an upgrade the accepting host may have
+   * known other keys or checks than this one, and a host that refused the revision in force could
+   * not serve; so unknown keys are ignored and the checks are not repeated.
+   *
+   * @return empty only if the text cannot be read as a configuration at all
+   */
+  public static Optional<RouterConfiguration> parseAccepted(String text) {
+    List<Finding> findings = new ArrayList<>();
+    Optional<RouterConfiguration> configuration =
+        LocatedReader.read(text, findings)
+            .map(
+                root ->
+                    new RecordBinder(RULES, Severity.WARNING, findings)
+                        .bind(root, RouterConfiguration.class));
+    return Finding.hasErrors(findings) ? Optional.empty() : configuration;
+  }
 }
--- a/server/src/main/java/org/clementinequay/server/document/RecordBinder.java
+++ b/server/src/main/java/org/clementinequay/server/document/RecordBinder.java
@@ -13,6 +13,7 @@
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
 import org.clementinequay.core.config.Finding;
+import org.clementinequay.core.config.Severity;
 
 /**
  * Turns JSON values into records. Jackson's own binding stops at the first fault; this one goes on
@@ -22,15 +23,18 @@
  */
 public final class RecordBinder {
   private final BindingRules rules;
+  private final Severity unknownKeys;
   private final List<Finding> findings;
 
   /**
    * Creates a binder.
    *
+   * @param unknownKeys severity of a key that no record component has
    * @param findings receives what is wrong
    */
-  public RecordBinder(BindingRules rules, List<Finding> findings) {
+  public RecordBinder(BindingRules rules, Severity unknownKeys, List<Finding> findings) {
     this.rules = rules;
+    this.unknownKeys = unknownKeys;
     this.findings = findings;
   }
 
@@ -67,8 +71,12 @@
                     NearestName.of(key, known).map(n -> "; did you mean \"" + n + "\"?").orElse("");
                 LocatedValue.Place place = member.key();
                 findings.add(
-                    Finding.error(place.pointer(), "unknown key \"" + key + "\"" + nearest)
-                        .at(place.line(), place.column()));
+                    new Finding(
+                        unknownKeys,
+                        place.pointer(),
+                        place.line(),
+                        place.column(),
+                        "unknown key \"" + key + "\"" + nearest));
               }
             });
   }
--- a/server/src/main/java/org/clementinequay/server/operator/ConfigurationDesk.java
+++ b/server/src/main/java/org/clementinequay/server/operator/ConfigurationDesk.java
@@ -118,6 +118,6 @@
     Optional<RevisionRecord> record = publisher.revision(revision);
     Optional<String> text =
         record.isEmpty() ? Optional.empty() : publisher.document(record.get().hash());
-    return text.flatMap(t -> DocumentParser.parse(t).configuration());
+    return text.flatMap(DocumentParser::parseAccepted);
   }
 }
--- a/server/src/main/java/org/clementinequay/server/operator/OperatorFault.java
+++ b/server/src/main/java/org/clementinequay/server/operator/OperatorFault.java
@@ -20,6 +20,7 @@
     INVALID_CONFIGURATION(422),
     INTERNAL(500),
     PLATFORM_UNAVAILABLE(503),
+    LOGINS_BUSY(503),
     ANSWER_LOST(504);
 
     private final int status;
--- a/server/src/main/java/org/clementinequay/server/operator/OperatorHandler.java
+++ b/server/src/main/java/org/clementinequay/server/operator/OperatorHandler.java
@@ -77,6 +77,8 @@
       return path.startsWith(API) ? api(request, path) : open(request, path);
     } catch (OperatorFault e) {
       return OperatorReply.error(e.kind(), e.getMessage());
+    } catch (LoginsBusyException e) {
+      return OperatorReply.error(OperatorFault.Kind.LOGINS_BUSY, e.getMessage());
     } catch (AnswerLostException e) {
       logger.atWarning().log("an answer of the platform was lost: %s", e.getMessage());
       return OperatorReply.error(
@@ -109,7 +111,7 @@
   }
 
   private OperatorReply api(Request request, String path)
-      throws OperatorFault, PlatformException, IOException {
+      throws OperatorFault, LoginsBusyException, PlatformException, IOException {
     Optional<String> operator =
         logins.authenticate(request.getHeaders().get(HttpHeader.AUTHORIZATION));
     if (operator.isEmpty()) {
--- a/server/src/main/java/org/clementinequay/server/operator/OperatorLogins.java
+++ b/server/src/main/java/org/clementinequay/server/operator/OperatorLogins.java
@@ -30,18 +30,31 @@
   /** Password checks at the same time; bounds what wrong passwords can cost the host. */
   private static final int MAX_CHECKS = 2;
 
+  /**
+   * Checks that may wait for their turn. The health and readiness checks share the listener's
+   * threads, and a flood of wrong passwords must not keep all of them waiting.
+   */
+  private static final int MAX_WAITING = 4;
+
   private static final int KEY_BYTES = 32;
   private static final String BASIC = "basic ";
 
   private final Map<String, PasswordHash> hashes = new HashMap<>();
   private final PasswordHash unknownUser;
   private final SecretKeySpec key;
-  private final Semaphore checks = new Semaphore(MAX_CHECKS, true);
+  private final Semaphore checks;
+  private final Semaphore admitted;
   private final Cache<String, Boolean> remembered =
       Caffeine.newBuilder().expireAfterWrite(REMEMBER).maximumSize(MAX_REMEMBERED).build();
 
   /** Creates the logins of checked settings. */
   public OperatorLogins(List<Settings.OperatorLogin> operators) {
+    this(operators, MAX_CHECKS, MAX_WAITING);
+  }
+
+  OperatorLogins(List<Settings.OperatorLogin> operators, int maxChecks, int maxWaiting) {
+    checks = new Semaphore(maxChecks, true);
+    admitted = new Semaphore(maxChecks + maxWaiting);
     SecureRandom random = new SecureRandom();
     byte[] keyBytes = new byte[KEY_BYTES];
     random.nextBytes(keyBytes);
@@ -55,8 +68,12 @@
             .orElseGet(() -> PasswordHash.create("".toCharArray(), 1_000, random));
   }
 
-  /** Returns the name of the operator that an HTTP Basic header authenticates. */
-  public Optional<String> authenticate(String authorization) {
+  /**
+   * Returns the name of the operator that an HTTP Basic header authenticates.
+   *
+   * @throws LoginsBusyException if the password was not checked
+   */
+  public Optional<String> authenticate(String authorization) throws LoginsBusyException {
     if (authorization == null || !authorization.regionMatches(true, 0, BASIC, 0, BASIC.length())) {
       return Optional.empty();
     }
@@ -76,14 +93,21 @@
     return check(name, pair.substring(colon + 1)) ? Optional.of(name) : Optional.empty();
   }
 
-  /** Returns whether the password is that of the operator. */
-  public boolean check(String name, String password) {
+  /**
+   * Returns whether the password is that of the operator.
+   *
+   * @throws LoginsBusyException if the password was not checked
+   */
+  public boolean check(String name, String password) throws LoginsBusyException {
     String digest = digest(name, password);
     if (remembered.getIfPresent(digest) != null) {
       return true;
     }
     // An unknown name costs as much time as a known one, so that names cannot be probed.
     PasswordHash hash = hashes.getOrDefault(name, unknownUser);
+    if (!admitted.tryAcquire()) {
+      throw new LoginsBusyException();
+    }
     checks.acquireUninterruptibly();
     try {
       boolean right = hash.matches(password.toCharArray()) && hashes.containsKey(name);
@@ -93,6 +117,7 @@
       return right;
     } finally {
       checks.release();
+      admitted.release();
     }
   }
 
--- a/server/src/main/java/org/clementinequay/server/settings/SettingsParser.java
+++ b/server/src/main/java/org/clementinequay/server/settings/SettingsParser.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import org.clementinequay.core.config.AddressForm;
 import org.clementinequay.core.config.Finding;
+import org.clementinequay.core.config.Severity;
 import org.clementinequay.core.session.SessionKey;
 import org.clementinequay.server.document.BindingRules;
 import org.clementinequay.server.document.LocatedReader;
@@ -48,7 +49,8 @@
     if (root.isEmpty()) {
       return new ParsedSettings(Optional.empty(), findings);
     }
-    Settings settings = new RecordBinder(RULES, findings).bind(root.get(), Settings.class);
+    Settings settings =
+        new RecordBinder(RULES, Severity.ERROR, findings).bind(root.get(), Settings.class);
     SettingsParser checker = new SettingsParser(settings);
     checker.check();
     for (Finding fault : RecordBinder.withoutConsequences(checker.faults, List.copyOf(findings))) {
--- a/server/src/test/java/org/clementinequay/server/document/DocumentParserTest.java
+++ b/server/src/test/java/org/clementinequay/server/document/DocumentParserTest.java
@@ -50,6 +50,29 @@
     }
   }
 
+  /** Documents that another release may have accepted. */
+  public static final class AcceptedElsewhere {
+    /** Guards against a host that cannot serve during an upgrade because of a new key or check. */
+    @Test
+    public void unknownKeysAndChecksDoNotPreventUse() {
+      String text =
+          VALID
+              .replace("\"slots\": 4", "\"slots\": 4, \"rack\": \"r7\"")
+              .replace("10.0.0.1:80", "engine:80");
+      assertTrue(DocumentParser.parse(text).configuration().isEmpty());
+      RouterConfiguration used = DocumentParser.parseAccepted(text).orElseThrow();
+      assertEquals(used.upstreams().get(0).slots(), 4);
+    }
+
+    /** Guards against use of a document with stand-in values in place of faulty ones. */
+    @Test
+    public void faultyValuesPreventUse() {
+      String text = VALID.replace("\"live\"", "\"alive\"");
+      assertTrue(DocumentParser.parseAccepted(text).isEmpty());
+      assertTrue(DocumentParser.parseAccepted("{").isEmpty());
+    }
+  }
+
   /** What is reported. */
   public static final class Faults {
     /** Guards against a parser that stops at the first fault or misplaces it. */
--- /dev/null
+++ b/server/src/test/java/org/clementinequay/server/operator/OperatorLoginsTest.java
@@ -0,0 +1,35 @@
+package org.clementinequay.server.operator;
+
+import static org.testng.Assert.assertThrows;
+import static org.testng.Assert.assertTrue;
+
+import java.security.SecureRandom;
+import java.util.List;
+import org.clementinequay.server.settings.PasswordHash;
+import org.clementinequay.server.settings.Settings;
+import org.testng.annotations.Test;
+
+/** Tests of the limits on password checks. */
+public final class OperatorLoginsTest {
+  private static List<Settings.OperatorLogin> operators() {
+    PasswordHash hash = PasswordHash.create("quay".toCharArray(), 1_000, new SecureRandom());
+    return List.of(new Settings.OperatorLogin("asha", hash.encode()));
+  }
+
+  /** Guards against a flood of wrong passwords that occupies the threads of the readiness check. */
+  @Test
+  public void checkIsRefusedAtOnceWhereNoneMayWait() {
+    OperatorLogins full = new OperatorLogins(operators(), 0, 0);
+    assertThrows(LoginsBusyException.class, () -> full.check("asha", "quay"));
+  }
+
+  /** Guards against permits that are not given back. */
+  @Test
+  public void permitsAreReturned() throws Exception {
+    OperatorLogins single = new OperatorLogins(operators(), 1, 0);
+    for (int i = 0; i < 3; i++) {
+      single.check("asha", "wrong");
+    }
+    assertTrue(single.check("asha", "quay"));
+  }
+}
