--- a/bench/src/test/java/org/clementinequay/bench/path/Cluster.java
+++ b/bench/src/test/java/org/clementinequay/bench/path/Cluster.java
@@ -12,6 +12,7 @@
 import java.util.Locale;
 import java.util.Optional;
 import java.util.Set;
+import java.util.SplittableRandom;
 import org.clementinequay.core.spread.ConfigurationPublisher;
 import org.clementinequay.core.time.SystemClock;
 import org.clementinequay.server.entry.EntryHost;
@@ -54,7 +55,7 @@
     cluster.service.start();
     cluster.publish(cluster.document("live", "live"));
     for (int i = 0; i < hostCount; i++) {
-      cluster.hosts.add(new EntryHost(cluster.settings(i)));
+      cluster.hosts.add(new EntryHost(cluster.settings(i), new SplittableRandom(i + 1)));
     }
     for (EntryHost host : cluster.hosts) {
       host.start();
--- a/server/src/main/java/org/clementinequay/server/entry/EntryHost.java
+++ b/server/src/main/java/org/clementinequay/server/entry/EntryHost.java
@@ -64,6 +64,16 @@
    * @throws IOException if the peers' address cannot be bound
    */
   public EntryHost(Settings settings) throws IOException {
+    this(settings, new SplittableRandom());
+  }
+
+  /**
+   * Creates the parts with a given source of the random numbers that choose versions and upstreams,
+   * so that tests are repeatable.
+   *
+   * @throws IOException if the peers' address cannot be bound
+   */
+  public EntryHost(Settings settings, SplittableRandom random) throws IOException {
     this.settings = settings;
     this.platform = new PlatformClients(settings);
     this.peers = network();
@@ -76,12 +86,12 @@
         new ConfigurationDuty(
             new ConfigurationReader(publisher, keeper, EntryHost::parse, spread::askPeers, clock),
             clock,
-            new SplittableRandom());
+            random.split());
     this.billing =
         new BillingParts(settings, incarnation, clock, platform, peers, billingMetrics());
     this.path =
         new RequestPath(
-            settings, incarnation, clock, platform, configuration, peers, billing, metrics);
+            settings, incarnation, clock, random, platform, configuration, peers, billing, metrics);
     this.control =
         new ControlParts(settings, incarnation, clock, platform, peers, configuration::upstreams);
     peers.addListener(
--- a/server/src/main/java/org/clementinequay/server/entry/EntryProcess.java
+++ b/server/src/main/java/org/clementinequay/server/entry/EntryProcess.java
@@ -1,6 +1,8 @@
 package org.clementinequay.server.entry;
 
 import com.google.common.flogger.FluentLogger;
+import java.io.IOException;
+import java.util.SplittableRandom;
 import java.util.concurrent.CountDownLatch;
 import org.apache.logging.log4j.LogManager;
 import org.clementinequay.server.cli.EntryLauncher;
@@ -9,12 +11,24 @@
 /** Runs an entry host as the whole process: SIGTERM stops it gracefully with exit code 0. */
 public final class EntryProcess implements EntryLauncher {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+  /** Property that fixes the random choices, for demonstrations that must be repeatable. */
+  private static final String SEED_PROPERTY = "clementinequay.random.seed";
+
   private static final int EXIT_DONE = 0;
   private static final int EXIT_FAILED = 1;
 
   @Override
   public void run(Settings settings) throws Exception {
-    EntryHost host = new EntryHost(settings);
+    if (settings.tls().isPresent()) {
+      // Plain HTTP in its place would send passwords and keys in the clear without notice.
+      throw new IOException("the listeners do not support \"tls\" yet");
+    }
+    Long seed = Long.getLong(SEED_PROPERTY);
+    EntryHost host =
+        seed == null
+            ? new EntryHost(settings)
+            : new EntryHost(settings, new SplittableRandom(seed));
     try {
       host.start();
     } catch (Exception e) {
--- a/server/src/main/java/org/clementinequay/server/entry/RequestPath.java
+++ b/server/src/main/java/org/clementinequay/server/entry/RequestPath.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.SplittableRandom;
 import org.clementinequay.core.Incarnation;
+import org.clementinequay.core.cascade.LearnedRates;
 import org.clementinequay.core.claim.ClaimService;
 import org.clementinequay.core.dispatch.UpstreamTable;
 import org.clementinequay.core.limit.AccountLimiter;
@@ -20,6 +21,7 @@
 import org.clementinequay.server.peer.PeerNetwork;
 import org.clementinequay.server.pipeline.AdmitFilter;
 import org.clementinequay.server.pipeline.BillFilter;
+import org.clementinequay.server.pipeline.CascadeLearning;
 import org.clementinequay.server.pipeline.ChatReply;
 import org.clementinequay.server.pipeline.ClaimFilter;
 import org.clementinequay.server.pipeline.ClaimSettlementFilter;
@@ -43,10 +45,12 @@
   final UpstreamTable health;
   final UpstreamTracker tracker = new UpstreamTracker();
   final AccountLimiter limiter;
+  final LearnedRates rates;
   final CallerHandler handler;
   private final HttpClient http = HttpParts.client("upstream", CLIENT_THREADS);
   private final ClaimWriter claims;
   private final RatingQueue ratings;
+  private final CascadeLearning learning;
   private final Thread loadReports;
   private final RuntimeClock clock;
   private final PeerNetwork peers;
@@ -55,6 +59,7 @@
       Settings settings,
       Incarnation incarnation,
       RuntimeClock clock,
+      SplittableRandom random,
       PlatformClients platform,
       ConfigurationState configuration,
       PeerNetwork peers,
@@ -70,16 +75,19 @@
             new ClaimService(platform.table, platform.objects, clock, incarnation),
             clock,
             ClaimWriter.Metrics.NONE);
+    this.rates = new LearnedRates(incarnation);
+    this.learning =
+        new CascadeLearning(rates, ratings, random.split(), clock, (version, good) -> {});
     SessionTokens tokens = new SessionTokens(sessionKeys(settings));
     ChatReply replies = new ChatReply(tokens, clock);
-    Dispatcher dispatcher = dispatcher(settings, configuration);
+    Dispatcher dispatcher = dispatcher(settings, random, configuration);
     Pipeline pipeline =
         new Pipeline(
             List.of(
                 new AdmitFilter(configuration, limiter, clock),
                 new SessionFilter(tokens, configuration, clock),
                 new ClaimFilter(claims, clock),
-                new PlanFilter(configuration, new SplittableRandom()),
+                new PlanFilter(configuration, random.split(), learning),
                 new RunFilter(dispatcher, replies),
                 new ClaimSettlementFilter(claims),
                 new BillFilter(billing.replicator, clock),
@@ -94,7 +102,8 @@
     loadReports.setDaemon(true);
   }
 
-  private Dispatcher dispatcher(Settings settings, ConfigurationState configuration) {
+  private Dispatcher dispatcher(
+      Settings settings, SplittableRandom random, ConfigurationState configuration) {
     Duration progress = Duration.ofMillis(settings.timeouts().progressMillis());
     return Dispatcher.builder()
         .clock(clock)
@@ -103,8 +112,9 @@
         .tracker(tracker)
         .client(new UpstreamClient(http, progress))
         .ratings(ratings)
+        .learning(learning)
         .events(upstream -> broadcast(upstream, UpstreamState.EJECTED))
-        .placement(new TwoChoicesPolicy(new SplittableRandom()))
+        .placement(new TwoChoicesPolicy(random.split()))
         .build();
   }
 
--- a/server/src/main/java/org/clementinequay/server/pipeline/ChatAttempt.java
+++ b/server/src/main/java/org/clementinequay/server/pipeline/ChatAttempt.java
@@ -42,6 +42,7 @@
   final Upstream upstream;
   private final Owner owner;
   private final boolean collects;
+  private final boolean passes;
   private final EventStreamReader reader;
   private final StringBuilder text = new StringBuilder();
   private final Output output = new Output();
@@ -54,11 +55,24 @@
   private String finishReason = "stop";
   private IOException malformed;
 
-  ChatAttempt(AttemptId id, Upstream upstream, Owner owner, boolean collects, long firstSequence) {
+  /**
+   * Creates an attempt.
+   *
+   * @param collects whether the text is kept
+   * @param passes whether the events go to the owner as they come
+   */
+  ChatAttempt(
+      AttemptId id,
+      Upstream upstream,
+      Owner owner,
+      boolean collects,
+      boolean passes,
+      long firstSequence) {
     this.id = id;
     this.upstream = upstream;
     this.owner = owner;
     this.collects = collects;
+    this.passes = passes;
     this.reader = new EventStreamReader(id, firstSequence);
   }
 
@@ -107,7 +121,7 @@
     if (indexOf(bytes, offset, length, USAGE_KEY) >= 0 || collects) {
       parse(bytes, offset, length);
     }
-    if (!collects) {
+    if (passes) {
       output.write(DATA_FIELD, 0, DATA_FIELD.length);
       output.write(bytes, offset, length);
       output.write(EVENT_END, 0, EVENT_END.length);
--- a/server/src/main/java/org/clementinequay/server/pipeline/ChatBody.java
+++ b/server/src/main/java/org/clementinequay/server/pipeline/ChatBody.java
@@ -12,6 +12,11 @@
 
   private ChatBody() {}
 
+  /** Returns the text that the rating service gets as the prompt. */
+  static String prompt(Exchange exchange) {
+    return exchange.request().chat().path("messages").toString();
+  }
+
   static byte[] forUpstream(ObjectNode chat, ModelVersion version) {
     ObjectNode body = chat.deepCopy();
     body.remove(ROUTER_FIELDS);
--- a/server/src/main/java/org/clementinequay/server/pipeline/ChatReply.java
+++ b/server/src/main/java/org/clementinequay/server/pipeline/ChatReply.java
@@ -7,7 +7,6 @@
 import java.time.Duration;
 import java.util.LinkedHashMap;
 import java.util.Map;
-import java.util.OptionalDouble;
 import org.clementinequay.core.ModelVersion;
 import org.clementinequay.core.Outcome;
 import org.clementinequay.core.session.SessionBinding;
@@ -31,8 +30,6 @@
     this.clock = clock;
   }
 
-  void draftRated(Exchange exchange, ModelVersion version, OptionalDouble score) {}
-
   /** Starts a stream; outcome and final count of attempts follow in its last chunk. */
   void beginStream(Exchange exchange, ModelVersion version, int attempts) {
     Map<String, String> headers = headers(exchange, attempts);
--- a/server/src/main/java/org/clementinequay/server/pipeline/ChatRun.java
+++ b/server/src/main/java/org/clementinequay/server/pipeline/ChatRun.java
@@ -38,7 +38,9 @@
   private final int expectedTokens;
   private final int promptTokens;
 
+  private final boolean sampled;
   private int stepIndex;
+  private long attemptStartedNanos;
   private int triesInStep;
   private int resumptions;
   private int attemptNumber;
@@ -55,6 +57,7 @@
     ObjectNode chat = exchange.request().chat();
     this.expectedTokens = chat.path("max_tokens").asInt(DEFAULT_COMPLETION_TOKENS);
     this.promptTokens = exchange.request().body().length / CHARS_PER_TOKEN;
+    this.sampled = dispatcher.learning.sampled(exchange);
   }
 
   void start() {
@@ -98,9 +101,11 @@
   private void send(Upstream upstream, ModelVersion version, long remaining) {
     triesInStep++;
     attemptNumber++;
+    attemptStartedNanos = dispatcher.clock.nanoTime();
     triedUpstreams.add(upstream.name());
     AttemptId id = exchange.id().attempt(attemptNumber);
-    ChatAttempt attempt = new ChatAttempt(id, upstream, this, collects(), 0);
+    ChatAttempt attempt =
+        new ChatAttempt(id, upstream, this, collects() || sampled, !collects(), 0);
     byte[] body = ChatBody.forUpstream(exchange.request().chat(), version);
     attempt.call(
         dispatcher.client.complete(
@@ -180,6 +185,7 @@
 
   private void finishWhole(ChatAttempt attempt) {
     dispatcher.succeeded(attempt.upstream, expectedTokens);
+    dispatcher.learning.answered(exchange, step().version(), attemptStartedNanos);
     if (step().draft()) {
       rateDraft(attempt);
     } else {
@@ -191,14 +197,14 @@
     dispatcher.ratings.rate(
         step().version(),
         exchange.className(),
-        exchange.request().chat().path("messages").toString(),
+        ChatBody.prompt(exchange),
         attempt.text(),
         score -> draftRated(attempt, score));
   }
 
   /** A draft without a rating counts as rejected: quality goes before cost. */
   private void draftRated(ChatAttempt attempt, OptionalDouble score) {
-    replies.draftRated(exchange, step().version(), score);
+    score.ifPresent(value -> dispatcher.learning.draftRated(exchange, stepIndex, value));
     boolean accepted = score.isPresent() && score.getAsDouble() >= step().acceptScore();
     if (accepted) {
       accept(attempt);
@@ -212,6 +218,10 @@
   private void accept(ChatAttempt attempt) {
     record(attempt, AttemptState.ACCEPTED);
     exchange.answer = Answer.ofChat(step().version(), collects() ? attempt.text() : null, attempt);
+    // A resumed stream lacks its first part, so it is not rated.
+    if (sampled && resumptions == 0) {
+      dispatcher.learning.rateReleased(exchange, stepIndex, attempt.text());
+    }
     next.proceed();
   }
 
@@ -266,7 +276,7 @@
     resumptions++;
     dispatcher.tracker.started(attempt.upstream.name(), expectedTokens);
     ChatAttempt rest =
-        new ChatAttempt(attempt.id, attempt.upstream, this, false, attempt.nextSequence());
+        new ChatAttempt(attempt.id, attempt.upstream, this, false, true, attempt.nextSequence());
     rest.call(
         dispatcher.client.resume(
             attempt.upstream, attempt.id, attempt.nextSequence(), remainingMillis(), rest));
--- a/server/src/main/java/org/clementinequay/server/pipeline/Dispatcher.java
+++ b/server/src/main/java/org/clementinequay/server/pipeline/Dispatcher.java
@@ -25,6 +25,7 @@
   final RetryBudget retries;
   final UpstreamTransport client;
   final RatingQueue ratings;
+  final CascadeLearning learning;
   final UpstreamEvents events;
   private final PlacementPolicy placement;
 
@@ -42,6 +43,7 @@
     this.retries = new RetryBudget();
     this.client = Objects.requireNonNull(builder.client);
     this.ratings = Objects.requireNonNull(builder.ratings);
+    this.learning = Objects.requireNonNull(builder.learning);
     this.events = Objects.requireNonNull(builder.events);
     this.placement = Objects.requireNonNull(builder.placement);
   }
@@ -108,6 +110,7 @@
     private UpstreamTracker tracker;
     private UpstreamTransport client;
     private RatingQueue ratings;
+    private CascadeLearning learning;
     private UpstreamEvents events = upstream -> {};
     private PlacementPolicy placement;
 
@@ -149,6 +152,12 @@
       return this;
     }
 
+    /** Sets what is learned of versions. */
+    public Builder learning(CascadeLearning value) {
+      learning = value;
+      return this;
+    }
+
     /** Sets who is told of ejections. */
     public Builder events(UpstreamEvents value) {
       events = value;
--- a/server/src/main/java/org/clementinequay/server/pipeline/PlanFilter.java
+++ b/server/src/main/java/org/clementinequay/server/pipeline/PlanFilter.java
@@ -15,11 +15,14 @@
 public final class PlanFilter implements Filter {
   private final ConfigurationSource configuration;
   private final RandomGenerator random;
+  private final CascadeLearning learning;
 
   /** Creates the stage; the generator draws the versions of new sessions by their shares. */
-  public PlanFilter(ConfigurationSource configuration, RandomGenerator random) {
+  public PlanFilter(
+      ConfigurationSource configuration, RandomGenerator random, CascadeLearning learning) {
     this.configuration = configuration;
     this.random = random;
+    this.learning = learning;
   }
 
   @Override
@@ -51,6 +54,9 @@
           RefusalReason.NO_LIVE_VERSION, "no version of " + target + " takes new work");
     }
     double acceptScore = cascade.map(Cascade::acceptScore).orElse(0.0);
+    if (versions.size() > 1) {
+      versions = learning.plan(exchange, active, versions).steps();
+    }
     List<PlanStep> steps = new ArrayList<>();
     for (int i = 0; i < versions.size(); i++) {
       steps.add(new PlanStep(versions.get(i), i + 1 < versions.size(), acceptScore));
--- a/server/src/test/java/org/clementinequay/server/cli/HostLauncherTest.java
+++ b/server/src/test/java/org/clementinequay/server/entry/EntryProcessTest.java
@@ -1,4 +1,4 @@
-package org.clementinequay.server.cli;
+package org.clementinequay.server.entry;
 
 import static org.testng.Assert.assertThrows;
 
@@ -9,7 +9,7 @@
 import org.testng.annotations.Test;
 
 /** Tests of the start of an entry host. */
-public final class HostLauncherTest {
+public final class EntryProcessTest {
   /** Guards against a host that speaks plain HTTP although its settings ask for TLS. */
   @Test
   public void tlsIsNotIgnored() {
@@ -26,6 +26,6 @@
             Optional.of(new Settings.Tls("store.p12", "password.txt")),
             1,
             Settings.Timeouts.DEFAULT);
-    assertThrows(IOException.class, () -> new HostLauncher().run(settings));
+    assertThrows(IOException.class, () -> new EntryProcess().run(settings));
   }
 }
--- a/server/src/test/java/org/clementinequay/server/pipeline/ChatRunTest.java
+++ b/server/src/test/java/org/clementinequay/server/pipeline/ChatRunTest.java
@@ -19,6 +19,7 @@
 import org.clementinequay.core.RefusalReason;
 import org.clementinequay.core.RequestFailedException;
 import org.clementinequay.core.RequestId;
+import org.clementinequay.core.cascade.LearnedRates;
 import org.clementinequay.core.config.ClientAccount;
 import org.clementinequay.core.config.Model;
 import org.clementinequay.core.config.RequestClass;
@@ -61,6 +62,14 @@
       exchange.deadlineNanos = Duration.ofSeconds(10).toNanos();
       exchange.plan = List.of(new PlanStep(VERSION, false, 0));
       SessionTokens tokens = new SessionTokens(List.of(new SessionKey("k", new byte[32])));
+      RatingQueue ratings = new RatingQueue((version, name, prompt, answer) -> 1, 0);
+      CascadeLearning learning =
+          new CascadeLearning(
+              new LearnedRates(exchange.id().incarnation()),
+              ratings,
+              new SplittableRandom(6),
+              clock,
+              (version, good) -> {});
       Dispatcher dispatcher =
           Dispatcher.builder()
               .clock(clock)
@@ -68,7 +77,8 @@
               .health(new UpstreamTable(clock))
               .tracker(new UpstreamTracker())
               .client(transport)
-              .ratings(new RatingQueue((version, name, prompt, answer) -> 1, 0))
+              .ratings(ratings)
+              .learning(learning)
               .placement(new TwoChoicesPolicy(new SplittableRandom(5)))
               .build();
       new ChatRun(dispatcher, exchange, new ChatReply(tokens, clock), this).start();
