Exchange limits, outstanding work and pass rates between entry hosts

Cause: every host learned and limited alone. Change: a duty broadcasts the counters of each policy, once a second, pass rates every five; peers merge them by origin.

--- a/server/src/main/java/org/clementinequay/server/entry/EntryHost.java
+++ b/server/src/main/java/org/clementinequay/server/entry/EntryHost.java
@@ -53,6 +53,7 @@
   private final ConfigurationDuty configurationDuty;
   private final BillingParts billing;
   private final ControlParts control;
+  private final PolicyExchange exchange;
   private final RequestPath path;
   private final Server callers;
   private final Server operators;
@@ -94,6 +95,7 @@
             settings, incarnation, clock, random, platform, configuration, peers, billing, metrics);
     this.control =
         new ControlParts(settings, incarnation, clock, platform, peers, configuration::upstreams);
+    this.exchange = new PolicyExchange(peers, path, clock);
     peers.addListener(
         new PeerEvents(
             peers, path, configuration, incarnation, settings.weight(), settings.domain()));
@@ -153,6 +155,7 @@
     billing.start();
     configurationDuty.start();
     control.start();
+    exchange.start();
     callers.start();
     operators.start();
     logger.atInfo().log(
@@ -254,6 +257,7 @@
     }
     callers.stop();
     control.close();
+    exchange.close();
     configurationDuty.close();
     path.close();
     billing.close();
