Make parsing of large documents cheaper

The validator built the access policy once for each account, and the binder and the difference looked up record components anew for each record. Tests of these packages pass.

--- a/core/src/main/java/org/clementinequay/core/config/ConfigurationDiff.java
+++ b/core/src/main/java/org/clementinequay/core/config/ConfigurationDiff.java
@@ -14,6 +14,15 @@
  * reflection, so that a component added to a record is never left out of a difference.
  */
 public final class ConfigurationDiff {
+  /** Components of each record; the JDK creates them anew at each look-up. */
+  private static final ClassValue<RecordComponent[]> COMPONENTS =
+      new ClassValue<>() {
+        @Override
+        protected RecordComponent[] computeValue(Class<?> type) {
+          return type.getRecordComponents();
+        }
+      };
+
   private ConfigurationDiff() {}
 
   /**
@@ -48,7 +57,7 @@
       return;
     }
     if (before instanceof Record) {
-      for (RecordComponent component : before.getClass().getRecordComponents()) {
+      for (RecordComponent component : COMPONENTS.get(before.getClass())) {
         compare(
             pointer + "/" + component.getName(),
             value(component, before),
@@ -104,7 +113,7 @@
   }
 
   private static String nameOf(Object item) {
-    for (RecordComponent component : item.getClass().getRecordComponents()) {
+    for (RecordComponent component : COMPONENTS.get(item.getClass())) {
       if (component.getName().equals("name")) {
         return String.valueOf(value(component, item));
       }
@@ -132,7 +141,7 @@
     }
     if (value instanceof Record) {
       List<String> parts = new ArrayList<>();
-      for (RecordComponent component : value.getClass().getRecordComponents()) {
+      for (RecordComponent component : COMPONENTS.get(value.getClass())) {
         parts.add(component.getName() + "=" + text(value(component, value)));
       }
       return "{" + String.join(", ", parts) + "}";
--- a/core/src/main/java/org/clementinequay/core/config/ConfigurationValidator.java
+++ b/core/src/main/java/org/clementinequay/core/config/ConfigurationValidator.java
@@ -33,6 +33,7 @@
   private static final Pattern SHA256 = Pattern.compile("[0-9a-f]{64}");
 
   private final RouterConfiguration configuration;
+  private final AccessPolicy policy;
   private final FindingList findings = new FindingList();
   private final Map<String, Model> models = new HashMap<>();
   private final Set<String> versions = new LinkedHashSet<>();
@@ -40,6 +41,7 @@
 
   private ConfigurationValidator(RouterConfiguration configuration) {
     this.configuration = configuration;
+    this.policy = new AccessPolicy(configuration);
     for (Model model : configuration.models()) {
       models.put(model.name(), model);
       for (VersionSpec version : model.versions()) {
@@ -289,7 +291,6 @@
   }
 
   private void checkAccountCascades(String pointer, ClientAccount account) {
-    AccessPolicy policy = new AccessPolicy(configuration);
     for (int j = 0; j < account.cascades().size(); j++) {
       String at = pointer + "/" + j;
       configuration
--- a/server/src/main/java/org/clementinequay/server/document/RecordBinder.java
+++ b/server/src/main/java/org/clementinequay/server/document/RecordBinder.java
@@ -1,13 +1,16 @@
 package org.clementinequay.server.document;
 
+import java.lang.reflect.Constructor;
 import java.lang.reflect.InvocationTargetException;
 import java.lang.reflect.ParameterizedType;
 import java.lang.reflect.RecordComponent;
 import java.lang.reflect.Type;
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Locale;
+import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.stream.Collectors;
@@ -23,6 +26,7 @@
  */
 public final class RecordBinder {
   private final BindingRules rules;
+  private final Map<Class<?>, Shape> shapes = new HashMap<>();
   private final Severity unknownKeys;
   private final List<Finding> findings;
 
@@ -44,7 +48,7 @@
   }
 
   private Object record(LocatedValue value, Class<?> type) {
-    RecordComponent[] components = type.getRecordComponents();
+    RecordComponent[] components = shape(type).components();
     Object[] arguments = new Object[components.length];
     if (value instanceof LocatedValue.ObjectValue object) {
       reportUnknownKeys(object, components);
@@ -57,7 +61,7 @@
         arguments[i] = standIn(components[i].getGenericType());
       }
     }
-    return create(type, components, arguments);
+    return create(type, arguments);
   }
 
   private void reportUnknownKeys(LocatedValue.ObjectValue object, RecordComponent[] components) {
@@ -219,17 +223,16 @@
     if (type.isEnum()) {
       return type.getEnumConstants()[0];
     }
-    RecordComponent[] components = type.getRecordComponents();
     Object[] arguments =
-        Stream.of(components).map(component -> standIn(component.getGenericType())).toArray();
-    return create(type, components, arguments);
+        Stream.of(shape(type).components())
+            .map(component -> standIn(component.getGenericType()))
+            .toArray();
+    return create(type, arguments);
   }
 
-  private static Object create(Class<?> type, RecordComponent[] components, Object[] arguments) {
-    Class<?>[] types =
-        Arrays.stream(components).map(RecordComponent::getType).toArray(Class<?>[]::new);
+  private Object create(Class<?> type, Object[] arguments) {
     try {
-      return type.getConstructor(types).newInstance(arguments);
+      return shape(type).constructor().newInstance(arguments);
     } catch (InvocationTargetException e) {
       throw new IllegalStateException(
           type + " must leave the check of its values to a validator", e.getCause());
@@ -238,6 +241,24 @@
     }
   }
 
+  private Shape shape(Class<?> type) {
+    return shapes.computeIfAbsent(type, Shape::of);
+  }
+
+  /** Components and constructor of a record; the JDK copies both at each look-up. */
+  private record Shape(RecordComponent[] components, Constructor<?> constructor) {
+    private static Shape of(Class<?> type) {
+      RecordComponent[] components = type.getRecordComponents();
+      Class<?>[] types =
+          Arrays.stream(components).map(RecordComponent::getType).toArray(Class<?>[]::new);
+      try {
+        return new Shape(components, type.getConstructor(types));
+      } catch (NoSuchMethodException e) {
+        throw new IllegalStateException(type + " must be a public record", e);
+      }
+    }
+  }
+
   private static String label(Object constant) {
     return Objects.toString(((Enum<?>) constant).name()).toLowerCase(Locale.ROOT).replace('_', '-');
   }
