--- a/bench/src/main/java/org/clementinequay/bench/Main.java
+++ b/bench/src/main/java/org/clementinequay/bench/Main.java
@@ -2,6 +2,7 @@
 
 import java.util.Arrays;
 import java.util.List;
+import org.clementinequay.bench.capacity.PeerSlopes;
 import org.clementinequay.bench.path.PathBench;
 
 /** Runs one of the measurements; started by {@code bin/bench}. */
@@ -16,8 +17,9 @@
     List<String> options = Arrays.asList(args).subList(Math.min(1, args.length), args.length);
     switch (name) {
       case "path" -> PathBench.run(options);
+      case "peers" -> PeerSlopes.run(options);
       default -> {
-        System.err.println("usage: bench path [options]");
+        System.err.println("usage: bench path|peers [options]");
         System.exit(EXIT_USAGE);
       }
     }
--- a/bench/src/main/java/org/clementinequay/bench/capacity/PeerSlopes.java
+++ b/bench/src/main/java/org/clementinequay/bench/capacity/PeerSlopes.java
@@ -18,11 +18,18 @@
  * each cost. The star has one host with as many links as a host has at the expected size.
  */
 public final class PeerSlopes {
-  private static final int WARM_UP_SECONDS = 5;
+  private static final int SETTLE_SECONDS = 5;
+  private static final int WARM_UP_HOSTS = 16;
+  private static final int WARM_UP_SECONDS = 20;
   private static final int REVISIONS = 5;
   private static final long SETTLE_MILLIS = 300;
   private static final double NANOS_PER_MILLI = 1e6;
 
+  private static final String HEADER =
+      "| shape | hosts | links | bytes/s | bytes/s per link | processor ms/s | heap per link"
+          + " | threads | revision ms, median | worst | links lost |\n"
+          + "|---|---|---|---|---|---|---|---|---|---|---|\n";
+
   private PeerSlopes() {}
 
   /**
@@ -82,10 +89,12 @@
     ObjectNode json = mapper.createObjectNode();
     ArrayNode points = json.putArray("meshes");
     List<Point> meshes = new ArrayList<>();
-    header();
+    // The compiler's work would otherwise be charged to the smallest mesh.
+    measure(WARM_UP_HOSTS, false, WARM_UP_SECONDS, options.valueOf(document));
+    StringBuilder table = new StringBuilder(HEADER);
     for (int size : options.valuesOf(sizes)) {
       Point point = measure(size, false, options.valueOf(seconds), options.valueOf(document));
-      row("mesh", point);
+      table.append(row("mesh", point));
       meshes.add(point);
       points.add(mapper.valueToTree(point));
     }
@@ -93,11 +102,13 @@
       Point point =
           measure(
               options.valueOf(star) + 1, true, options.valueOf(seconds), options.valueOf(document));
-      row("star", point);
+      table.append(row("star", point));
       json.set("star", mapper.valueToTree(point));
     }
     slope(json, meshes, "bytes_per_second_per_link", Point::bytesPerSecond);
     slope(json, meshes, "processor_ms_per_second_per_link", Point::processorMillis);
+    // At the end, because log lines go to the same stream.
+    System.out.println(table);
     System.out.println(json.toPrettyString());
   }
 
@@ -105,7 +116,7 @@
       throws Exception {
     long heapBefore = usedHeap();
     try (PeerGroup group = new PeerGroup(size, star)) {
-      TimeUnit.SECONDS.sleep(WARM_UP_SECONDS);
+      TimeUnit.SECONDS.sleep(SETTLE_SECONDS);
       double ends = star ? 2.0 * (size - 1) : (double) size * (size - 1);
       double heapPerLink = (usedHeap() - heapBefore) / ends;
       long lost = group.lostLinks();
@@ -144,15 +155,8 @@
     return Runtime.getRuntime().totalMemory() - Runtime.getRuntime().freeMemory();
   }
 
-  private static void header() {
-    System.out.println(
-        "| shape | hosts | links | bytes/s | bytes/s per link | processor ms/s | heap per link"
-            + " | threads | revision ms, median | worst | links lost |");
-    System.out.println("|---|---|---|---|---|---|---|---|---|---|---|");
-  }
-
-  private static void row(String shape, Point point) {
-    System.out.printf(
+  private static String row(String shape, Point point) {
+    return String.format(
         Locale.ROOT,
         "| %s | %d | %d | %.0f | %.1f | %.2f | %.0f | %d | %.1f | %.1f | %d |%n",
         shape,
--- /dev/null
+++ b/server/src/main/java/org/clementinequay/server/peer/DutyPreference.java
@@ -0,0 +1,38 @@
+package org.clementinequay.server.peer;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Objects;
+import org.clementinequay.core.membership.RendezvousHash;
+
+/**
+ * Which host should hold a duty: the first by rendezvous hash, by size, among this host and the
+ * linked ones that are not leaving. Hosts that see different peers may disagree; leases keep that
+ * safe.
+ */
+public final class DutyPreference {
+  private final PeerIdentity self;
+  private final PeerNetwork network;
+
+  private record Candidate(String host, double weight) {}
+
+  /** Creates the preference as seen from a host. */
+  public DutyPreference(PeerIdentity self, PeerNetwork network) {
+    this.self = Objects.requireNonNull(self);
+    this.network = Objects.requireNonNull(network);
+  }
+
+  /** Returns whether this host should hold a duty. */
+  public boolean isPreferred(String duty) {
+    List<Candidate> candidates = new ArrayList<>();
+    candidates.add(new Candidate(self.host(), self.weight()));
+    for (PeerNetwork.Peer peer : network.peers()) {
+      if (!peer.leaving()) {
+        candidates.add(new Candidate(peer.host(), peer.weight()));
+      }
+    }
+    return RendezvousHash.preferred(duty, candidates, Candidate::host, Candidate::weight)
+        .map(preferred -> preferred.host().equals(self.host()))
+        .orElse(false);
+  }
+}
--- /dev/null
+++ b/server/src/main/java/org/clementinequay/server/peer/LeaseDuty.java
@@ -0,0 +1,126 @@
+package org.clementinequay.server.peer;
+
+import com.google.common.flogger.FluentLogger;
+import java.time.Duration;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentMap;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
+import org.clementinequay.core.Incarnation;
+import org.clementinequay.core.lease.Lease;
+import org.clementinequay.core.lease.LeaseCandidate;
+import org.clementinequay.core.lease.LeaseGuard;
+import org.clementinequay.core.lease.LeaseStore;
+import org.clementinequay.core.lease.LeaseTerms;
+import org.clementinequay.core.platform.PlatformException;
+import org.clementinequay.core.time.RuntimeClock;
+
+/**
+ * The duty thread {@code lease-renewal}: takes and renews the leases that this host is a candidate
+ * for, and releases them on a graceful shutdown.
+ */
+public final class LeaseDuty implements AutoCloseable {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+  /** A third of the renewal interval, so that a renewal is late by a second at most. */
+  private static final Duration PAUSE = Duration.ofSeconds(1);
+
+  private final LeaseStore store;
+  private final Incarnation self;
+  private final Predicate<String> preferred;
+  private final RuntimeClock clock;
+  private final ConcurrentMap<String, LeaseCandidate> candidates = new ConcurrentHashMap<>();
+  private Thread thread;
+
+  /**
+   * Creates the duty; {@link #start} starts its thread.
+   *
+   * @param preferred whether this host should hold a duty, such as {@link
+   *     DutyPreference#isPreferred}
+   */
+  public LeaseDuty(
+      LeaseStore store, Incarnation self, Predicate<String> preferred, RuntimeClock clock) {
+    this.store = Objects.requireNonNull(store);
+    this.self = Objects.requireNonNull(self);
+    this.preferred = Objects.requireNonNull(preferred);
+    this.clock = Objects.requireNonNull(clock);
+  }
+
+  /** Makes this host a candidate for a duty and returns the guard for its orders. */
+  public LeaseGuard compete(String duty) {
+    candidates.computeIfAbsent(
+        duty, name -> new LeaseCandidate(store, name, self, LeaseTerms.PRODUCTION, clock));
+    return new LeaseGuard(duty, () -> lease(duty), LeaseTerms.PRODUCTION.orderMargin());
+  }
+
+  /** Returns the lease of a duty if this host took it; its validity may be over. */
+  public Optional<Lease> lease(String duty) {
+    return Optional.ofNullable(candidates.get(duty)).flatMap(LeaseCandidate::lease);
+  }
+
+  /** Gives a duty up, for example when its work is done. */
+  public void withdraw(String duty) {
+    LeaseCandidate candidate = candidates.remove(duty);
+    if (candidate != null) {
+      release(duty, candidate);
+    }
+  }
+
+  /** Starts the thread. */
+  public synchronized LeaseDuty start() {
+    thread = Threads.start("lease-renewal", this::run);
+    return this;
+  }
+
+  /** Takes or renews each lease where that is due. */
+  void step() {
+    for (Map.Entry<String, LeaseCandidate> entry : candidates.entrySet()) {
+      String duty = entry.getKey();
+      boolean before = entry.getValue().lease().isPresent();
+      try {
+        entry.getValue().step(preferred.test(duty));
+      } catch (PlatformException e) {
+        logger.atWarning().atMostEvery(10, TimeUnit.SECONDS).withCause(e).log(
+            "cannot renew or take lease %s", duty);
+      } catch (RuntimeException e) {
+        // One lease must not stop the renewal of the others.
+        logger.atSevere().withCause(e).log("step of lease %s failed", duty);
+      }
+      boolean after = entry.getValue().lease().isPresent();
+      if (before != after) {
+        logger.atInfo().log("lease %s %s", duty, after ? "taken" : "lost");
+      }
+    }
+  }
+
+  /** Stops the thread and releases all leases; the caller has stopped sending orders. */
+  @Override
+  public synchronized void close() {
+    if (thread != null) {
+      thread.interrupt();
+    }
+    candidates.forEach(this::release);
+  }
+
+  private void release(String duty, LeaseCandidate candidate) {
+    try {
+      candidate.release();
+    } catch (PlatformException e) {
+      logger.atWarning().withCause(e).log("cannot release lease %s; it ends by itself", duty);
+    }
+  }
+
+  private void run() {
+    while (!Thread.currentThread().isInterrupted()) {
+      step();
+      try {
+        clock.sleep(PAUSE);
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+      }
+    }
+  }
+}
--- /dev/null
+++ b/server/src/test/java/org/clementinequay/server/peer/LeaseDutyTest.java
@@ -0,0 +1,68 @@
+package org.clementinequay.server.peer;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.time.Instant;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import org.clementinequay.core.Incarnation;
+import org.clementinequay.core.lease.LeaseGuard;
+import org.clementinequay.core.lease.LeaseStore;
+import org.clementinequay.core.platform.memory.CallHook;
+import org.clementinequay.core.platform.memory.InMemoryTableService;
+import org.clementinequay.core.time.ManualClock;
+import org.testng.annotations.Test;
+
+/** Tests of the renewal of leases and of the preference for duties. */
+public class LeaseDutyTest {
+  /** Guards against a planned stop or withdrawal that keeps duties from the next host. */
+  @Test
+  public void handsOverOnWithdrawalAndClose() throws Exception {
+    ManualClock clock = new ManualClock(Instant.EPOCH);
+    LeaseStore store = new LeaseStore(new InMemoryTableService(CallHook.NONE));
+    SplittableRandom random = new SplittableRandom(1);
+    LeaseDuty a = new LeaseDuty(store, Incarnation.random(random), duty -> true, clock);
+    LeaseDuty b = new LeaseDuty(store, Incarnation.random(random), duty -> true, clock);
+    LeaseGuard guard = a.compete("one");
+    a.compete("two");
+    b.compete("one");
+    b.compete("two");
+    a.step();
+    b.step();
+    assertEquals(guard.check().fencing(), 1);
+    assertEquals(b.lease("one"), Optional.empty());
+    a.withdraw("one");
+    b.step();
+    assertTrue(b.lease("one").isPresent());
+    assertEquals(b.lease("two"), Optional.empty());
+    a.close();
+    b.step();
+    assertEquals(b.lease("two").get().fencing(), 2);
+  }
+
+  /** Guards against duties for a host that is leaving, and against two preferred hosts. */
+  @Test
+  public void prefersOneHostThatStays() throws Exception {
+    try (TestHost a = new TestHost("a", 1);
+        TestHost b = new TestHost("b", 2)) {
+      a.sees(b.entry());
+      Await.until("linked", () -> a.isLinkedTo(b) && b.isLinkedTo(a));
+      DutyPreference ofA = new DutyPreference(a.identity, a.network);
+      DutyPreference ofB = new DutyPreference(b.identity, b.network);
+      int duties = 0;
+      for (int i = 0; i < 50; i++) {
+        assertTrue(ofA.isPreferred("duty-" + i) != ofB.isPreferred("duty-" + i));
+        duties += ofA.isPreferred("duty-" + i) ? 1 : 0;
+      }
+      assertTrue(duties > 0 && duties < 50);
+      a.content = new HeartbeatContent(0, true, 0, 0);
+      Await.until("told", () -> b.network.peers().stream().allMatch(PeerNetwork.Peer::leaving));
+      for (int i = 0; i < 50; i++) {
+        assertTrue(ofB.isPreferred("duty-" + i));
+      }
+      assertFalse(b.network.peers().isEmpty());
+    }
+  }
+}
--- a/server/src/test/java/org/clementinequay/server/peer/RevisionSpreadTest.java
+++ b/server/src/test/java/org/clementinequay/server/peer/RevisionSpreadTest.java
@@ -5,6 +5,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.SplittableRandom;
+import org.clementinequay.core.Incarnation;
 import org.clementinequay.core.config.RevisionedConfiguration;
 import org.clementinequay.core.config.RouterConfiguration;
 import org.clementinequay.core.spread.DocumentHash;
@@ -96,4 +98,48 @@
       }
     }
   }
+
+  /** Order of announcement and application. */
+  public static class Announcement {
+    /** Guards against a peer that asks before the revision is in force here and gets no answer. */
+    @Test
+    public void documentIsHandedOutWhileItIsAnnounced() {
+      EagerNetwork network = new EagerNetwork();
+      RevisionSpread spread =
+          new RevisionSpread(network, text -> Optional.of(CONFIGURATION), new SystemClock());
+      network.listener = spread;
+      spread.keeper().offer(revision(3));
+      assertEquals(
+          network.sent,
+          List.of(new PeerMessage.DocumentReply(3, DocumentHash.of("document 3"), "document 3")));
+    }
+  }
+
+  /** Links whose peers ask for a document while it is being announced. */
+  private static final class EagerNetwork implements PeerNetwork {
+    private final Peer peer =
+        new Peer(Incarnation.random(new SplittableRandom(1)), "b", "a", "pnw", 1, 1, 0, false);
+    private final List<PeerMessage> sent = new ArrayList<>();
+    private Listener listener;
+
+    @Override
+    public List<Peer> peers() {
+      return List.of(peer);
+    }
+
+    @Override
+    public boolean send(Incarnation to, PeerMessage message) {
+      return sent.add(message);
+    }
+
+    @Override
+    public void broadcast(PeerMessage message) {
+      if (message instanceof PeerMessage.RevisionAnnounced announced) {
+        listener.received(peer, new PeerMessage.DocumentRequest(announced.revision()));
+      }
+    }
+
+    @Override
+    public void addListener(Listener added) {}
+  }
 }
