--- a/bench/src/main/java/org/clementinequay/bench/policy/PolicyBench.java
+++ b/bench/src/main/java/org/clementinequay/bench/policy/PolicyBench.java
@@ -55,6 +55,8 @@
   private static void measure(String name, Results results) throws IOException {
     switch (name) {
       case "cascade" -> new CascadeBench(results).run();
+      case "rollout" -> new RolloutBench(results).run();
+      case "placement" -> new PlacementBench(results).run();
       default -> throw new IllegalArgumentException(name);
     }
   }
--- /dev/null
+++ b/core/src/test/java/org/clementinequay/core/placement/EstimatedCompletionPolicyTest.java
@@ -0,0 +1,74 @@
+package org.clementinequay.core.placement;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.List;
+import java.util.OptionalLong;
+import org.clementinequay.core.Incarnation;
+import org.testng.annotations.Test;
+
+/** Tests of {@link EstimatedCompletionPolicy}. */
+public class EstimatedCompletionPolicyTest {
+  private static final Incarnation PEER = new Incarnation("b".repeat(32));
+  private static final long SECOND = 1_000_000_000L;
+
+  private static String choose(UpstreamTracker tracker, long nowNanos, OptionalLong key) {
+    PlacementRequest request = new PlacementRequest(nowNanos, 0, 60_000, 100, 100, key);
+    List<UpstreamView> views =
+        List.of(tracker.view("a", "near", 4, nowNanos), tracker.view("b", "far", 4, nowNanos));
+    return new EstimatedCompletionPolicy().choose(request, views).orElseThrow().upstream();
+  }
+
+  /** Tests of {@link EstimatedCompletionPolicy#choose}. */
+  public static class Choose {
+    // Guards against a slow upstream that is taken because it is empty.
+    @Test
+    public void learnedSpeedDecides() {
+      UpstreamTracker tracker = new UpstreamTracker();
+      tracker.measured("a", 100, 10 * SECOND);
+      tracker.measured("b", 100, SECOND);
+      assertEquals(choose(tracker, 0, OptionalLong.empty()), "b");
+    }
+
+    // Guards against peers' work that is ignored between load reports.
+    @Test
+    public void peersWorkCounts() {
+      UpstreamTracker tracker = new UpstreamTracker();
+      tracker.peerOutstanding(PEER, "a", 20, 0);
+      assertEquals(choose(tracker, 0, OptionalLong.empty()), "b");
+      tracker.peerGone(PEER);
+      assertEquals(choose(tracker, 0, OptionalLong.empty()), "a");
+    }
+
+    // Guards against a report that frightens hosts away long after the load has gone.
+    @Test
+    public void oldReportIsForgotten() {
+      UpstreamTracker tracker = new UpstreamTracker();
+      tracker.reported("a", new LoadReport(4, 30, 0, 1));
+      assertEquals(choose(tracker, SECOND, OptionalLong.empty()), "b");
+      assertEquals(choose(tracker, 20 * SECOND, OptionalLong.empty()), "a");
+    }
+
+    // Guards against affinity that overloads the preferred upstream.
+    @Test
+    public void affinityYieldsToLoad() {
+      UpstreamTracker tracker = new UpstreamTracker();
+      OptionalLong key = OptionalLong.of(7);
+      String preferred = choose(tracker, 0, key);
+      for (int i = 0; i < 20; i++) {
+        tracker.started(preferred, 100);
+      }
+      assertTrue(!choose(tracker, 0, key).equals(preferred));
+    }
+
+    // Guards against a distance that does not count.
+    @Test
+    public void nearerDomainWinsAmongEquals() {
+      UpstreamTracker tracker = new UpstreamTracker();
+      tracker.distance("near", SECOND / 10);
+      tracker.distance("far", SECOND / 20);
+      assertEquals(choose(tracker, 0, OptionalLong.empty()), "b");
+    }
+  }
+}
