--- /dev/null
+++ b/bench/src/main/java/org/clementinequay/bench/soak/ConfigurationScenario.java
@@ -0,0 +1,246 @@
+package org.clementinequay.bench.soak;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import org.clementinequay.core.platform.AnswerLostException;
+import org.clementinequay.core.platform.PlatformException;
+import org.clementinequay.core.platform.PlatformUnavailableException;
+import org.clementinequay.core.platform.TableService;
+import org.clementinequay.core.spread.ConfigurationPublisher;
+import org.clementinequay.core.spread.PublishResult;
+import org.clementinequay.core.spread.RevisionRecord;
+import org.clementinequay.core.spread.StalenessRule;
+import org.clementinequay.core.time.RuntimeClock;
+
+/**
+ * Operators race to change the configuration while hosts read it. Events: {@code head} (a read
+ * returned this revision; the detail is the virtual time of its start), {@code accepted}, {@code
+ * superseded}, {@code refused} and {@code unknown} (answers to the submission in the key), and
+ * {@code in_force} (a host put the revision in force; the detail is the hash of the document).
+ */
+final class ConfigurationScenario {
+  private static final int OPERATORS = 3;
+  private static final Duration LONGEST_EDIT = Duration.ofSeconds(6);
+  private static final Duration LONGEST_RETRY_WAIT = Duration.ofSeconds(2);
+
+  /** Operators stop this long before the end, so that the last revision can spread. */
+  private static final Duration SETTLE = Duration.ofSeconds(10);
+
+  private static final int HOSTS = 4;
+
+  /** Time within which an accepted revision must be in force on every live host. */
+  private static final long IN_FORCE_NANOS = Duration.ofSeconds(5).toNanos();
+
+  private final SoakRun run;
+  private final FakeNetwork network;
+  private final List<ConfigurationHost> hosts = new ArrayList<>();
+  private final TreeMap<Long, Long> acceptedByTime = new TreeMap<>();
+  private int submissions;
+
+  ConfigurationScenario(SoakRun run) {
+    this.run = run;
+    network = new FakeNetwork(run);
+  }
+
+  void execute() throws PlatformException {
+    List<VirtualScheduler.Process> operators = new ArrayList<>();
+    for (int i = 0; i < OPERATORS; i++) {
+      VirtualScheduler.Process operator = run.scheduler().process("operator" + i);
+      operators.add(operator);
+      operator.start("edit", () -> operate(operator));
+    }
+    for (int i = 0; i < HOSTS; i++) {
+      hosts.add(new ConfigurationHost(run, network, "host" + i, i == 0));
+    }
+    run.scheduler().observe(this::checkStaleness);
+    new ProcessFaults(
+            run, () -> hosts.stream().map(ConfigurationHost::process).toList(), this::restart)
+        .start(2, List.of(ProcessFaults.Kind.values()));
+    new ProcessFaults(run, () -> operators, VirtualScheduler.Process::kill)
+        .start(
+            2,
+            List.of(
+                ProcessFaults.Kind.PAUSE,
+                ProcessFaults.Kind.PARTITION,
+                ProcessFaults.Kind.WALL_CLOCK));
+    run.runToEnd();
+    check();
+  }
+
+  private void restart(VirtualScheduler.Process victim) {
+    victim.kill();
+    ConfigurationHost lost =
+        hosts.stream().filter(host -> host.process() == victim).findFirst().orElseThrow();
+    hosts.remove(lost);
+    hosts.add(new ConfigurationHost(run, network, victim.name() + "'", lost.cutOff()));
+  }
+
+  /** A host that does not know a revision after the staleness limit must know that it is stale. */
+  private void checkStaleness() {
+    long before = run.scheduler().nowNanos() - StalenessRule.LIMIT.toNanos();
+    Map.Entry<Long, Long> old = acceptedByTime.floorEntry(before);
+    for (ConfigurationHost host : hosts) {
+      if (old != null && !host.stale() && host.revision() < old.getValue()) {
+        run.violate(host.process().name() + " lacks " + old + " and does not count as stale");
+        acceptedByTime.clear();
+        return;
+      }
+    }
+  }
+
+  private TableService publisherTable() {
+    TableService table = run.platform().table();
+    if (run.mutated(Mutant.HEAD_WITHOUT_COMPARE)) {
+      return MutatedTable.unconditional(table, write -> true);
+    }
+    return run.mutated(Mutant.LOST_PUBLISH_AS_REFUSED)
+        ? MutatedTable.lostAsUnavailable(table)
+        : table;
+  }
+
+  private void operate(VirtualScheduler.Process operator) throws Exception {
+    RuntimeClock clock = operator.clock();
+    ConfigurationPublisher publisher =
+        new ConfigurationPublisher(publisherTable(), run.platform().store(), clock);
+    long known = 0;
+    while (!run.lessThanLeft(SETTLE)) {
+      run.sleepUpTo(LONGEST_EDIT);
+      long start = run.scheduler().nowNanos();
+      try {
+        known = publisher.head().map(RevisionRecord::revision).orElse(0L);
+        run.history().add(operator.name(), "head", "", known, Long.toString(start));
+      } catch (PlatformException e) {
+        // The operator edits on top of the revision that was shown last.
+      }
+      submit(operator, publisher, known);
+    }
+  }
+
+  private void submit(
+      VirtualScheduler.Process operator, ConfigurationPublisher publisher, long base)
+      throws Exception {
+    submissions++;
+    String id = "submission" + submissions;
+    String kind = "unknown";
+    long revision = 0;
+    boolean asked = true;
+    while (asked) {
+      asked = false;
+      try {
+        PublishResult result = publisher.publish(base, id, operator.name(), "document of " + id);
+        if (result instanceof PublishResult.Accepted accepted) {
+          kind = "accepted";
+          revision = accepted.record().revision();
+        } else if (result instanceof PublishResult.Lost lost) {
+          kind = "superseded";
+          revision = lost.winner().revision();
+        }
+      } catch (PlatformUnavailableException e) {
+        kind = kind.equals("unknown") && revision == 0 ? "refused" : kind;
+      } catch (AnswerLostException e) {
+        // Half of the operators ask again, as the contract of the publisher tells them to.
+        revision = -1;
+        asked = run.random().nextBoolean();
+        run.sleepUpTo(LONGEST_RETRY_WAIT);
+      }
+    }
+    run.history().add(operator.name(), kind, id, revision, Long.toString(base));
+    if (kind.equals("accepted")) {
+      long highest = acceptedByTime.isEmpty() ? 0 : acceptedByTime.lastEntry().getValue();
+      acceptedByTime.put(run.scheduler().nowNanos(), Math.max(highest, revision));
+    }
+  }
+
+  private void check() throws PlatformException {
+    ConfigurationPublisher truth =
+        new ConfigurationPublisher(
+            run.platform().rows(),
+            run.platform().objects(),
+            run.scheduler().process("checker").clock());
+    Optional<RevisionRecord> head = truth.head();
+    long last = head.map(RevisionRecord::revision).orElse(0L);
+    Map<String, Long> revisionBySubmission = new HashMap<>();
+    for (long number = 1; number <= last; number++) {
+      Optional<RevisionRecord> row = truth.revision(number);
+      if (row.isEmpty() || truth.document(row.get().hash()).isEmpty()) {
+        run.violate("revision " + number + " or its document is missing");
+        continue;
+      }
+      Long earlier = revisionBySubmission.put(row.get().submissionId(), number);
+      if (earlier != null) {
+        run.violate(row.get().submissionId() + " is in force twice: " + earlier + ", " + number);
+      }
+    }
+    if (truth.revision(last + 1).isPresent() || !head.equals(truth.revision(last))) {
+      run.violate("the head row does not name the last revision " + last);
+    }
+    checkAnswers(revisionBySubmission);
+    checkHeadReads();
+    checkInForce(truth);
+  }
+
+  private void checkInForce(ConfigurationPublisher truth) throws PlatformException {
+    Map<String, TreeMap<Long, Long>> byHost = new HashMap<>();
+    for (History.Event event : run.history().events("in_force")) {
+      TreeMap<Long, Long> revisions =
+          byHost.computeIfAbsent(event.process(), host -> new TreeMap<>());
+      if (!revisions.isEmpty() && revisions.lastEntry().getValue() >= event.number()) {
+        run.violate("moved back from " + revisions.lastEntry().getValue() + ": " + event);
+      }
+      revisions.put(event.atNanos(), event.number());
+      Optional<RevisionRecord> row = truth.revision(event.number());
+      if (row.isEmpty() || !row.get().hash().equals(event.detail())) {
+        run.violate("not the document of the revision: " + event);
+      }
+    }
+    for (History.Event event : run.history().events("accepted")) {
+      long limit = Math.max(event.atNanos(), run.quietFromNanos()) + IN_FORCE_NANOS;
+      for (ConfigurationHost host : hosts) {
+        Map.Entry<Long, Long> known =
+            byHost.getOrDefault(host.process().name(), new TreeMap<>()).floorEntry(limit);
+        if (known == null || known.getValue() < event.number()) {
+          run.violate(host.process().name() + " had " + known + " 5 s after " + event);
+        }
+      }
+    }
+  }
+
+  private void checkAnswers(Map<String, Long> revisionBySubmission) {
+    boolean acceptedInQuiet = false;
+    for (History.Event event : run.history().events("accepted")) {
+      acceptedInQuiet |= event.atNanos() > run.quietFromNanos();
+      Long stored = revisionBySubmission.get(event.key());
+      if (stored == null || stored != event.number()) {
+        run.violate(event.key() + " was accepted as " + event.number() + ", stored: " + stored);
+      }
+    }
+    if (!acceptedInQuiet) {
+      run.violate("no submission was accepted after the end of faults");
+    }
+    for (String kind : List.of("refused", "superseded")) {
+      for (History.Event event : run.history().events(kind)) {
+        if (revisionBySubmission.containsKey(event.key())) {
+          run.violate(event.key() + " was " + kind + " but is in the history");
+        }
+      }
+    }
+  }
+
+  /** A read that starts after a submission was answered must see its revision or a later one. */
+  private void checkHeadReads() {
+    List<History.Event> accepted = run.history().events("accepted");
+    for (History.Event read : run.history().events("head")) {
+      long start = Long.parseLong(read.detail());
+      for (History.Event event : accepted) {
+        if (event.atNanos() < start && event.number() > read.number()) {
+          run.violate("head " + read.number() + " was read after " + event.number());
+        }
+      }
+    }
+  }
+}
--- /dev/null
+++ b/bench/src/main/java/org/clementinequay/bench/soak/Scenario.java
@@ -0,0 +1,77 @@
+package org.clementinequay.bench.soak;
+
+import java.time.Duration;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+
+/** Workloads on the real coordination code together with the checks of their histories. */
+public enum Scenario {
+  /** Operators race to change the configuration while hosts read it. */
+  CONFIGURATION(Duration.ofSeconds(120), Duration.ofSeconds(40)) {
+    @Override
+    void execute(SoakRun run) throws Exception {
+      new ConfigurationScenario(run).execute();
+    }
+  },
+  /** Callers on several hosts use the same idempotency keys while hosts are killed. */
+  CLAIMS(Duration.ofSeconds(60), Duration.ofSeconds(100)) {
+    @Override
+    void execute(SoakRun run) throws Exception {
+      new ClaimScenario(run).execute();
+    }
+  },
+  /** Processes whose clocks differ compete for a lease and send orders to upstreams under it. */
+  LEASES(Duration.ofSeconds(300), Duration.ofSeconds(60)) {
+    @Override
+    void execute(SoakRun run) throws Exception {
+      new LeaseScenario(run).execute();
+    }
+  },
+  /** Hosts copy and seal bill records while one host at a time is killed. */
+  BILLING(Duration.ofSeconds(200), Duration.ofSeconds(60)) {
+    @Override
+    void execute(SoakRun run) throws Exception {
+      new BillingScenario(run).execute();
+    }
+  };
+
+  private final Duration faults;
+  private final Duration quiet;
+
+  Scenario(Duration faults, Duration quiet) {
+    this.faults = faults;
+    this.quiet = quiet;
+  }
+
+  /** Starts processes, runs them to the end and checks the history. */
+  abstract void execute(SoakRun run) throws Exception;
+
+  /** Returns the name on the command line. */
+  public String label() {
+    return name().toLowerCase(Locale.ROOT);
+  }
+
+  /** Returns the scenario of a name on the command line. */
+  public static Optional<Scenario> labelled(String label) {
+    return Arrays.stream(values()).filter(scenario -> scenario.label().equals(label)).findFirst();
+  }
+
+  /** Runs once. */
+  public SoakRun.Result run(long seed, Optional<Mutant> mutant) {
+    try (SoakRun run = new SoakRun(seed, faults, quiet, mutant)) {
+      try {
+        execute(run);
+      } catch (Exception e) {
+        run.violate("the scenario failed: " + e);
+      }
+      return run.result();
+    }
+  }
+
+  /** Returns the mutants of this scenario. */
+  public List<Mutant> mutants() {
+    return Arrays.stream(Mutant.values()).filter(mutant -> mutant.scenario() == this).toList();
+  }
+}
--- /dev/null
+++ b/server/src/main/java/org/clementinequay/server/entry/EntryHost.java
@@ -0,0 +1,266 @@
+package org.clementinequay.server.entry;
+
+import com.google.common.flogger.FluentLogger;
+import java.io.IOException;
+import java.security.SecureRandom;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import org.clementinequay.core.Incarnation;
+import org.clementinequay.core.config.RevisionedConfiguration;
+import org.clementinequay.core.config.RouterConfiguration;
+import org.clementinequay.core.spread.ConfigurationPublisher;
+import org.clementinequay.core.spread.ConfigurationReader;
+import org.clementinequay.core.spread.RevisionKeeper;
+import org.clementinequay.core.spread.RevisionRecord;
+import org.clementinequay.core.time.RuntimeClock;
+import org.clementinequay.core.time.SystemClock;
+import org.clementinequay.server.billing.BillingMetrics;
+import org.clementinequay.server.console.ConsoleHandler;
+import org.clementinequay.server.document.DocumentParser;
+import org.clementinequay.server.metrics.RouterMetrics;
+import org.clementinequay.server.operator.ConfigurationDesk;
+import org.clementinequay.server.operator.OperatorHandler;
+import org.clementinequay.server.operator.OperatorLogins;
+import org.clementinequay.server.peer.ConfigurationDuty;
+import org.clementinequay.server.peer.HeartbeatContent;
+import org.clementinequay.server.peer.PeerIdentity;
+import org.clementinequay.server.peer.RevisionSpread;
+import org.clementinequay.server.peer.TcpPeerNetwork;
+import org.clementinequay.server.settings.Settings;
+import org.eclipse.jetty.server.Handler;
+import org.eclipse.jetty.server.Server;
+
+/** One entry host: wires its parts together, starts them, and stops them gracefully. */
+public final class EntryHost implements AutoCloseable {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+  private static final int CALLER_THREADS = 64;
+  private static final int OPERATOR_THREADS = 16;
+  private static final Duration DRAIN_POLL = Duration.ofMillis(20);
+
+  /** Time between "not ready" and the end of new work, in which the balancer notices. */
+  private static final Duration NOT_READY_LEAD = Duration.ofMillis(500);
+
+  private final Settings settings;
+  private final RuntimeClock clock = new SystemClock();
+  private final Incarnation incarnation = Incarnation.random(new SecureRandom());
+  private final RouterMetrics metrics = new RouterMetrics();
+  private final PlatformClients platform;
+  private final TcpPeerNetwork peers;
+  private final RevisionSpread spread;
+  private final RevisionKeeper keeper;
+  private final ConfigurationState configuration;
+  private final ConfigurationDuty configurationDuty;
+  private final BillingParts billing;
+  private final ControlParts control;
+  private final RequestPath path;
+  private final Server callers;
+  private final Server operators;
+  private volatile boolean leaving;
+
+  /**
+   * Creates the parts and binds the peers' listener; nothing runs yet.
+   *
+   * @throws IOException if the peers' address cannot be bound
+   */
+  public EntryHost(Settings settings) throws IOException {
+    this(settings, new SplittableRandom());
+  }
+
+  /**
+   * Creates the parts with a given source of the random numbers that choose versions and upstreams,
+   * so that tests are repeatable.
+   *
+   * @throws IOException if the peers' address cannot be bound
+   */
+  public EntryHost(Settings settings, SplittableRandom random) throws IOException {
+    this.settings = settings;
+    this.platform = new PlatformClients(settings);
+    this.peers = network();
+    this.spread = new RevisionSpread(peers, EntryHost::parse, clock);
+    this.keeper = spread.keeper();
+    this.configuration = new ConfigurationState(keeper, clock);
+    ConfigurationPublisher publisher =
+        new ConfigurationPublisher(platform.table, platform.objects, clock);
+    this.configurationDuty =
+        new ConfigurationDuty(
+            new ConfigurationReader(publisher, keeper, EntryHost::parse, spread::askPeers, clock),
+            clock,
+            random.split());
+    this.billing =
+        new BillingParts(settings, incarnation, clock, platform, peers, billingMetrics());
+    this.path =
+        new RequestPath(
+            settings, incarnation, clock, random, platform, configuration, peers, billing, metrics);
+    this.control =
+        new ControlParts(settings, incarnation, clock, platform, peers, configuration::upstreams);
+    peers.addListener(
+        new PeerEvents(
+            peers, path, configuration, incarnation, settings.weight(), settings.domain()));
+    this.callers =
+        HttpParts.server("caller", settings.listeners().callers(), CALLER_THREADS, path.handler);
+    this.operators =
+        HttpParts.server(
+            "operator", settings.listeners().operators(), OPERATOR_THREADS, operators(publisher));
+    registerGauges();
+  }
+
+  private TcpPeerNetwork network() throws IOException {
+    PeerIdentity identity =
+        new PeerIdentity(
+            incarnation, settings.name(), settings.domain(), settings.region(), settings.weight());
+    return TcpPeerNetwork.builder(identity)
+        .listen(HttpParts.parse(settings.listeners().peers()))
+        .directory(platform.directory)
+        .clock(clock)
+        .heartbeat(this::heartbeat)
+        .build();
+  }
+
+  private Handler operators(ConfigurationPublisher publisher) {
+    OperatorLogins logins = new OperatorLogins(settings.operators());
+    ConfigurationDesk desk = new ConfigurationDesk(publisher, this::accepted);
+    EntryView view = new EntryView(this);
+    OperatorHandler api =
+        new OperatorHandler(logins, desk, view, new TableBills(platform), metrics::scrape);
+    return new Handler.Sequence(new ConsoleHandler(logins, desk, view, clock), api);
+  }
+
+  private void registerGauges() {
+    metrics.gauge("clementinequay_open_requests", path.handler::openRequests);
+    metrics.gauge("clementinequay_revision", keeper::revision);
+    metrics.gauge("clementinequay_peers", () -> peers.peers().size());
+    metrics.gauge(
+        "clementinequay_heap_used_bytes",
+        () -> Runtime.getRuntime().totalMemory() - Runtime.getRuntime().freeMemory());
+  }
+
+  private BillingMetrics billingMetrics() {
+    return new BillingMetrics() {};
+  }
+
+  private HeartbeatContent heartbeat() {
+    long open = path.handler.openRequests();
+    return new HeartbeatContent(keeper.revision(), leaving, open, open / settings.weight());
+  }
+
+  /** Starts all listeners and duties. */
+  public void start() throws Exception {
+    platform.start();
+    path.start();
+    peers.start();
+    spread.start();
+    billing.start();
+    configurationDuty.start();
+    control.start();
+    callers.start();
+    operators.start();
+    logger.atInfo().log(
+        "entry host %s started, incarnation %s, callers on port %d, operators on port %d",
+        settings.name(), incarnation, callerPort(), operatorPort());
+  }
+
+  /** Returns the name of the host. */
+  public String name() {
+    return settings.name();
+  }
+
+  /** Returns the failure domain of the host. */
+  public String domain() {
+    return settings.domain();
+  }
+
+  /** Returns the port of the callers' listener. */
+  public int callerPort() {
+    return HttpParts.port(callers);
+  }
+
+  /** Returns the port of the operators' listener. */
+  public int operatorPort() {
+    return HttpParts.port(operators);
+  }
+
+  /** Returns the port of the peers' listener. */
+  public int peerPort() {
+    return peers.address().getPort();
+  }
+
+  /** Returns whether callers may be sent here: a configuration is in force, and it is staying. */
+  public boolean ready() {
+    return !leaving && configuration.current().isPresent();
+  }
+
+  Settings settings() {
+    return settings;
+  }
+
+  Incarnation incarnation() {
+    return incarnation;
+  }
+
+  boolean leaving() {
+    return leaving;
+  }
+
+  RevisionKeeper keeper() {
+    return keeper;
+  }
+
+  ConfigurationState configuration() {
+    return configuration;
+  }
+
+  RequestPath path() {
+    return path;
+  }
+
+  TcpPeerNetwork peers() {
+    return peers;
+  }
+
+  RuntimeClock clock() {
+    return clock;
+  }
+
+  private static Optional<RouterConfiguration> parse(String text) {
+    return DocumentParser.parse(text).configuration();
+  }
+
+  /** Puts a revision in force that an operator submitted here, without waiting for its reader. */
+  private void accepted(RevisionRecord record, String text) {
+    parse(text)
+        .ifPresent(
+            parsed ->
+                keeper.offer(
+                    new RevisionedConfiguration(record.revision(), record.hash(), text, parsed)));
+  }
+
+  /**
+   * Stops gracefully: not ready first, then no new requests, open ones finish, claims and bills are
+   * handed over, then the listeners close.
+   */
+  @Override
+  public void close() throws Exception {
+    leaving = true;
+    clock.sleep(NOT_READY_LEAD);
+    path.handler.drain();
+    long deadline = clock.nanoTime() + Duration.ofSeconds(settings.drainSeconds()).toNanos();
+    while (path.handler.openRequests() > 0 && clock.nanoTime() < deadline) {
+      clock.sleep(DRAIN_POLL);
+    }
+    long cut = path.handler.openRequests();
+    if (cut > 0) {
+      logger.atSevere().log("shutdown cuts %d requests after the drain timeout", cut);
+    }
+    callers.stop();
+    control.close();
+    configurationDuty.close();
+    path.close();
+    billing.close();
+    spread.close();
+    peers.close();
+    operators.stop();
+    platform.close();
+    logger.atInfo().log("entry host %s stopped", settings.name());
+  }
+}
