--- a/server/src/main/java/org/clementinequay/server/cli/EntryCommand.java
+++ b/server/src/main/java/org/clementinequay/server/cli/EntryCommand.java
@@ -42,6 +42,10 @@
   @Override
   public ExitCode run(OptionSet options, Terminal terminal) throws CommandException {
     Settings settings = SettingsFile.read(options.valueOf(settingsFile), terminal);
+    if (settings.tls().isPresent()) {
+      // Plain HTTP in its place would send passwords and keys in the clear without notice.
+      throw new CommandException(ExitCode.USAGE, "the listeners do not support \"tls\" yet");
+    }
     try {
       launcher.run(settings);
       return ExitCode.DONE;
--- a/server/src/test/java/org/clementinequay/server/cli/CommandLineTest.java
+++ b/server/src/test/java/org/clementinequay/server/cli/CommandLineTest.java
@@ -42,10 +42,11 @@
     final List<String> launched = new ArrayList<>();
     private Path folder;
 
-    /** Creates a folder for documents. */
+    /** Creates a folder for documents; the instance is shared by the tests of a class. */
     @BeforeMethod
     public void createFolder() throws Exception {
       folder = Files.createTempDirectory("cli");
+      launched.clear();
     }
 
     /** Deletes the folder. */
@@ -146,6 +147,17 @@
       assertEquals(launched, List.of("e1"));
     }
 
+    /** Guards against a host that speaks plain HTTP although its settings ask for TLS. */
+    @Test
+    public void tlsIsNotIgnored() throws Exception {
+      String tls = "\"tls\": {\"keyStore\": \"s.p12\", \"passwordFile\": \"p.txt\"}, \"name\"";
+      String file = file("tls.json", SETTINGS.replace("\"name\"", tls));
+      assertEquals(run("check", "--settings", file), ExitCode.DONE);
+      assertEquals(run("entry", "--settings", file), ExitCode.USAGE);
+      assertEquals(launched, List.of());
+      assertTrue(err().contains("do not support \"tls\""), err());
+    }
+
     /** Guards against a printed hash that the settings do not accept. */
     @Test
     public void passwordPrintsItsHash() {
