--- a/server/src/main/java/org/clementinequay/server/control/RolloutDuty.java
+++ b/server/src/main/java/org/clementinequay/server/control/RolloutDuty.java
@@ -178,8 +178,7 @@
             state.status().name(),
             Integer.toString(state.stage()));
     guard.check();
-    PublishResult result =
-        publisher.publish(current.revision(), submission, OPERATOR, text.get());
+    PublishResult result = publisher.publish(current.revision(), submission, OPERATOR, text.get());
     if (result instanceof PublishResult.Lost lost) {
       logger.atInfo().log(
           "roll-out of %s repeats its change after revision %d of %s",
--- a/server/src/main/java/org/clementinequay/server/entry/PolicyExchange.java
+++ b/server/src/main/java/org/clementinequay/server/entry/PolicyExchange.java
@@ -9,14 +9,16 @@
 import java.util.concurrent.TimeUnit;
 import org.clementinequay.core.cascade.RateReport;
 import org.clementinequay.core.limit.LimitReport;
+import org.clementinequay.core.rollout.VersionCounts;
 import org.clementinequay.core.time.RuntimeClock;
+import org.clementinequay.server.control.RolloutEvidence;
 import org.clementinequay.server.peer.PeerMessage;
 import org.clementinequay.server.peer.PeerNetwork;
 
 /**
  * Duty that exchanges the policies' counters with the peers: use of the account limits, learned
- * pass rates, and outstanding work by upstream. All are states of one origin, so that a lost,
- * repeated or late message does no harm.
+ * pass rates, evidence on roll-outs, and outstanding work by upstream. All are states of one
+ * origin, so that a lost, repeated or late message does no harm.
  */
 final class PolicyExchange implements PeerNetwork.Listener, AutoCloseable {
   /** Interval of limits and outstanding work, which placement and admission react to. */
@@ -28,15 +30,19 @@
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
   private static final String RATES = "rates";
   private static final String LIMITS = "limits";
+  private static final String EVIDENCE = "evidence";
   private static final String OUTSTANDING = "outstanding";
 
   private final PeerNetwork network;
   private final RequestPath path;
+  private final RolloutEvidence evidence;
   private final RuntimeClock clock;
   private final ObjectMapper json = new ObjectMapper();
   private final Thread thread = new Thread(this::run, "policy-exchange");
 
-  PolicyExchange(PeerNetwork network, RequestPath path, RuntimeClock clock) {
+  PolicyExchange(
+      PeerNetwork network, RequestPath path, RolloutEvidence evidence, RuntimeClock clock) {
+    this.evidence = evidence;
     this.network = network;
     this.path = path;
     this.clock = clock;
@@ -67,6 +73,10 @@
     long now = clock.nanoTime();
     broadcast(LIMITS, path.limiter.rebalance(now));
     broadcast(OUTSTANDING, path.tracker.ownOutstanding());
+    Map<String, VersionCounts> counts = evidence.own();
+    if (!counts.isEmpty()) {
+      broadcast(EVIDENCE, counts);
+    }
     if (turn % RATES_EVERY == 0) {
       broadcast(RATES, path.rates.report(now));
     }
@@ -95,6 +105,10 @@
     switch (counters.kind()) {
       case RATES -> path.rates.merge(json.readValue(counters.json(), RateReport.class), now);
       case LIMITS -> path.limiter.merge(json.readValue(counters.json(), LimitReport.class));
+      case EVIDENCE ->
+          evidence.merge(
+              from.incarnation(),
+              json.readValue(counters.json(), new TypeReference<Map<String, VersionCounts>>() {}));
       case OUTSTANDING -> {
         Map<String, Integer> work =
             json.readValue(counters.json(), new TypeReference<Map<String, Integer>>() {});
