Close links that the topology no longer asks for

Links to other domains piled up as hosts were replaced, since nothing closed a link whose partner was no longer chosen.

--- a/server/src/main/java/org/clementinequay/server/peer/Dialler.java
+++ b/server/src/main/java/org/clementinequay/server/peer/Dialler.java
@@ -7,6 +7,7 @@
 import java.util.function.Function;
 import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
+import java.util.stream.Collectors;
 import org.clementinequay.core.platform.HostEntry;
 
 /**
@@ -63,7 +64,7 @@
         state.current = open.apply(target);
       }
     }
-    attempts.keySet().removeIf(name -> targets.stream().noneMatch(t -> t.name().equals(name)));
+    attempts.keySet().retainAll(targets.stream().map(HostEntry::name).collect(Collectors.toSet()));
   }
 
   private Attempts first(String target, long nowNanos) {
--- a/server/src/main/java/org/clementinequay/server/peer/PeerLink.java
+++ b/server/src/main/java/org/clementinequay/server/peer/PeerLink.java
@@ -39,6 +39,7 @@
     CLOSED,
     SILENT,
     SUPERSEDED,
+    SURPLUS,
     REFUSED,
     SHUTDOWN
   }
--- a/server/src/main/java/org/clementinequay/server/peer/TcpPeerNetwork.java
+++ b/server/src/main/java/org/clementinequay/server/peer/TcpPeerNetwork.java
@@ -19,6 +19,7 @@
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
+import java.util.stream.Collectors;
 import javax.net.ssl.SSLContext;
 import org.clementinequay.core.Incarnation;
 import org.clementinequay.core.membership.LinkTopology;
@@ -63,6 +64,7 @@
   private final Supplier<HeartbeatContent> content;
   private final PeerSockets sockets;
   private final Dialler dialler;
+  private final SurplusLinks surplusLinks = new SurplusLinks();
   private final ServerSocket server;
   private final LinkTable table;
   private final PeerStatistics statistics = new PeerStatistics();
@@ -239,7 +241,11 @@
 
   private void readHosts() {
     try {
-      targets = targets(directory.hosts());
+      List<HostEntry> hosts = directory.hosts();
+      targets = targets(hosts);
+      surplusLinks
+          .find(table.links(), names(hosts), names(targets))
+          .forEach(link -> link.end(PeerLink.End.SURPLUS));
     } catch (PlatformException e) {
       statistics.add(Counter.HOST_LIST_FAILURES, 1);
       logger.atWarning().atMostEvery(1, TimeUnit.MINUTES).withCause(e).log(
@@ -247,6 +253,10 @@
     }
   }
 
+  private static Set<String> names(List<HostEntry> hosts) {
+    return hosts.stream().map(HostEntry::name).collect(Collectors.toSet());
+  }
+
   private List<HostEntry> targets(List<HostEntry> hosts) {
     List<HostEntry> candidates =
         hosts.stream().filter(h -> h.role().equals(ENTRY_ROLE) && !h.leaving()).toList();
--- a/server/src/test/java/org/clementinequay/server/peer/TcpPeerNetworkTest.java
+++ b/server/src/test/java/org/clementinequay/server/peer/TcpPeerNetworkTest.java
@@ -10,11 +10,17 @@
 import java.security.KeyStore;
 import java.time.Duration;
 import java.util.List;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.function.UnaryOperator;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
 import javax.net.ssl.KeyManagerFactory;
 import javax.net.ssl.SSLContext;
 import javax.net.ssl.TrustManagerFactory;
+import org.clementinequay.core.membership.LinkTopology;
+import org.clementinequay.core.membership.Member;
+import org.clementinequay.core.platform.HostEntry;
 import org.clementinequay.server.peer.PeerStatistics.Counter;
 import org.testng.annotations.Test;
 
@@ -59,6 +65,38 @@
       }
     }
 
+    /** Guards against links to other domains that pile up as hosts are replaced. */
+    @Test
+    public void closesLinksThatTheTopologyNoLongerAsksFor() throws Exception {
+      List<String> names = List.of("b", "c", "d");
+      Set<String> chosen =
+          new LinkTopology(names.stream().map(name -> new Member(name, "domain-2")).toList())
+              .targets(new Member("a", "domain-1")).stream()
+                  .map(Member::name)
+                  .collect(Collectors.toSet());
+      String other = names.stream().filter(name -> !chosen.contains(name)).findFirst().get();
+      try (TestHost a = new TestHost("a", 1);
+          TestHost b = new TestHost("b", 2);
+          TestHost c = new TestHost("c", 3);
+          TestHost d = new TestHost("d", 4)) {
+        List<TestHost> hosts = List.of(b, c, d);
+        HostEntry[] entries =
+            hosts.stream()
+                .map(h -> new HostEntry(h.identity.host(), "entry", "domain-2", h.address(), false))
+                .toArray(HostEntry[]::new);
+        a.sees(Stream.of(entries).filter(e -> e.name().equals(other)).toArray(HostEntry[]::new));
+        Await.until("linked", () -> a.network.peers().size() == 1);
+        a.sees(entries);
+        Await.until(
+            "moved",
+            () ->
+                a.network.peers().stream()
+                    .map(PeerNetwork.Peer::host)
+                    .collect(Collectors.toSet())
+                    .equals(chosen));
+      }
+    }
+
     /** Guards against links lost because the platform's list cannot be read. */
     @Test
     public void keepsTheLastHostList() throws Exception {
