List relayed connections before they copy

A test relay started to copy before the connection was listed, so a link could come up that swallow() then missed.

--- a/server/src/test/java/org/clementinequay/server/peer/Relay.java
+++ b/server/src/test/java/org/clementinequay/server/peer/Relay.java
@@ -36,8 +36,11 @@
       while (true) {
         Socket client = server.accept();
         Socket upstream = new Socket(target.getAddress(), target.getPort());
-        pipes.add(new Pipe(client, upstream, true));
-        pipes.add(new Pipe(upstream, client, false));
+        // Listed before they copy, so that a link that is up can always be made to swallow bytes.
+        List<Pipe> both =
+            List.of(new Pipe(client, upstream, true), new Pipe(upstream, client, false));
+        pipes.addAll(both);
+        both.forEach(Pipe::start);
       }
     } catch (IOException e) {
       // The relay was closed.
@@ -63,6 +66,9 @@
       this.from = from;
       this.to = to;
       this.toTarget = toTarget;
+    }
+
+    private void start() {
       Threads.start("relay-pipe", this::copy);
     }
 
