--- a/bench/src/main/java/org/clementinequay/bench/soak/Mutant.java
+++ b/bench/src/main/java/org/clementinequay/bench/soak/Mutant.java
@@ -8,6 +8,14 @@
   HEAD_WITHOUT_COMPARE(Scenario.CONFIGURATION, "R10, R14"),
   /** A commit whose answer was lost counts as refused. */
   LOST_PUBLISH_AS_REFUSED(Scenario.CONFIGURATION, "R12, R28"),
+  /** A document of a peer is put in force whatever its revision. */
+  LOWER_REVISION_ACCEPTED(Scenario.CONFIGURATION, "R10"),
+  /** Hosts do not tell each other of revisions. */
+  REVISION_NOT_ANNOUNCED(Scenario.CONFIGURATION, "R10, R19"),
+  /** Hosts do not read the head row. */
+  HEAD_NOT_POLLED(Scenario.CONFIGURATION, "R10"),
+  /** A host that could not refresh its configuration goes on as before. */
+  STALENESS_IGNORED(Scenario.CONFIGURATION, "R2"),
   /** A claim is written whether or not the key is taken. */
   CLAIM_WITHOUT_INSERT_IF_ABSENT(Scenario.CLAIMS, "R7, R12"),
   /** A claim whose answer was lost counts as not written. */
@@ -31,7 +39,17 @@
   /** A new holder does not wait for the orders of the former one. */
   NO_WAIT_FOR_FORMER_ORDERS(Scenario.LEASES, "R24, R28"),
   /** A holder trusts its own orders and does not read the state of the upstream. */
-  NO_READ_BACK_OF_STATE(Scenario.LEASES, "R24, R28");
+  NO_READ_BACK_OF_STATE(Scenario.LEASES, "R24, R28"),
+  /** The final event is released before another host holds the record. */
+  BILL_RELEASED_BEFORE_COPY(Scenario.BILLING, "R4"),
+  /** Copies are dropped although their records are not durable. */
+  COPY_DROPPED_BEFORE_SEAL(Scenario.BILLING, "R4"),
+  /** Nobody learns that a host is dead. */
+  DEAD_HOST_NOT_FLUSHED(Scenario.BILLING, "R4"),
+  /** A batch that the object store refused counts as written. */
+  REFUSED_BATCH_AS_WRITTEN(Scenario.BILLING, "R4, R28"),
+  /** A bill adds up batches instead of forming the union by request id. */
+  BILL_WITHOUT_UNION(Scenario.BILLING, "R4, R12");
 
   private final Scenario scenario;
   private final String requirements;
--- a/bin/lib.sh
+++ b/bin/lib.sh
@@ -14,6 +14,17 @@
   fi
 }
 
+# require_free PORT...: ends the script if something listens on one of the loopback ports.
+require_free() {
+  local port
+  for port in "$@"; do
+    if (exec 3<>"/dev/tcp/127.0.0.1/$port") 2>/dev/null; then
+      echo "loopback port $port is in use; end what listens there first" >&2
+      exit 1
+    fi
+  done
+}
+
 # start NAME COMMAND...: runs a command in the background; output goes to $work/NAME.log.
 start() {
   local name="$1"
@@ -78,4 +89,4 @@
 
 # Only for stand-ins on loopback: a fixed key of session tokens and the hash of "quickstart".
 session_secret="MDEyMzQ1Njc4OWFiY2RlZjAxMjM0NTY3ODlhYmNkZWY="
-operator_hash="OPERATOR_HASH"
+operator_hash='pbkdf2-sha256$600000$RUAPh/ifHa+fKAvcoh0e0Q==$0+xa7ijxP6b44We3h+itHJsa1C2xuLeiLO0eQOIWaDM='
--- a/server/src/main/java/org/clementinequay/server/document/RecordBinder.java
+++ b/server/src/main/java/org/clementinequay/server/document/RecordBinder.java
@@ -1,18 +1,22 @@
 package org.clementinequay.server.document;
 
+import java.lang.reflect.Constructor;
 import java.lang.reflect.InvocationTargetException;
 import java.lang.reflect.ParameterizedType;
 import java.lang.reflect.RecordComponent;
 import java.lang.reflect.Type;
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Locale;
+import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
 import org.clementinequay.core.config.Finding;
+import org.clementinequay.core.config.Severity;
 
 /**
  * Turns JSON values into records. Jackson's own binding stops at the first fault; this one goes on
@@ -22,15 +26,19 @@
  */
 public final class RecordBinder {
   private final BindingRules rules;
+  private final Map<Class<?>, Shape> shapes = new HashMap<>();
+  private final Severity unknownKeys;
   private final List<Finding> findings;
 
   /**
    * Creates a binder.
    *
+   * @param unknownKeys severity of a key that no record component has
    * @param findings receives what is wrong
    */
-  public RecordBinder(BindingRules rules, List<Finding> findings) {
+  public RecordBinder(BindingRules rules, Severity unknownKeys, List<Finding> findings) {
     this.rules = rules;
+    this.unknownKeys = unknownKeys;
     this.findings = findings;
   }
 
@@ -40,7 +48,7 @@
   }
 
   private Object record(LocatedValue value, Class<?> type) {
-    RecordComponent[] components = type.getRecordComponents();
+    RecordComponent[] components = shape(type).components();
     Object[] arguments = new Object[components.length];
     if (value instanceof LocatedValue.ObjectValue object) {
       reportUnknownKeys(object, components);
@@ -53,7 +61,7 @@
         arguments[i] = standIn(components[i].getGenericType());
       }
     }
-    return create(type, components, arguments);
+    return create(type, arguments);
   }
 
   private void reportUnknownKeys(LocatedValue.ObjectValue object, RecordComponent[] components) {
@@ -67,8 +75,12 @@
                     NearestName.of(key, known).map(n -> "; did you mean \"" + n + "\"?").orElse("");
                 LocatedValue.Place place = member.key();
                 findings.add(
-                    Finding.error(place.pointer(), "unknown key \"" + key + "\"" + nearest)
-                        .at(place.line(), place.column()));
+                    new Finding(
+                        unknownKeys,
+                        place.pointer(),
+                        place.line(),
+                        place.column(),
+                        "unknown key \"" + key + "\"" + nearest));
               }
             });
   }
@@ -211,17 +223,16 @@
     if (type.isEnum()) {
       return type.getEnumConstants()[0];
     }
-    RecordComponent[] components = type.getRecordComponents();
     Object[] arguments =
-        Stream.of(components).map(component -> standIn(component.getGenericType())).toArray();
-    return create(type, components, arguments);
+        Stream.of(shape(type).components())
+            .map(component -> standIn(component.getGenericType()))
+            .toArray();
+    return create(type, arguments);
   }
 
-  private static Object create(Class<?> type, RecordComponent[] components, Object[] arguments) {
-    Class<?>[] types =
-        Arrays.stream(components).map(RecordComponent::getType).toArray(Class<?>[]::new);
+  private Object create(Class<?> type, Object[] arguments) {
     try {
-      return type.getConstructor(types).newInstance(arguments);
+      return shape(type).constructor().newInstance(arguments);
     } catch (InvocationTargetException e) {
       throw new IllegalStateException(
           type + " must leave the check of its values to a validator", e.getCause());
@@ -230,6 +241,24 @@
     }
   }
 
+  private Shape shape(Class<?> type) {
+    return shapes.computeIfAbsent(type, Shape::of);
+  }
+
+  /** Components and constructor of a record; the JDK copies both at each look-up. */
+  private record Shape(RecordComponent[] components, Constructor<?> constructor) {
+    private static Shape of(Class<?> type) {
+      RecordComponent[] components = type.getRecordComponents();
+      Class<?>[] types =
+          Arrays.stream(components).map(RecordComponent::getType).toArray(Class<?>[]::new);
+      try {
+        return new Shape(components, type.getConstructor(types));
+      } catch (NoSuchMethodException e) {
+        throw new IllegalStateException(type + " must be a public record", e);
+      }
+    }
+  }
+
   private static String label(Object constant) {
     return Objects.toString(((Enum<?>) constant).name()).toLowerCase(Locale.ROOT).replace('_', '-');
   }
--- a/server/src/main/java/org/clementinequay/server/entry/ControlParts.java
+++ b/server/src/main/java/org/clementinequay/server/entry/ControlParts.java
@@ -2,18 +2,19 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Optional;
-import java.util.function.Supplier;
 import org.clementinequay.core.Incarnation;
-import org.clementinequay.core.config.Upstream;
-import org.clementinequay.core.lease.LeaseTerms;
-import org.clementinequay.core.membership.RendezvousHash;
+import org.clementinequay.core.lease.LeaseStore;
+import org.clementinequay.core.spread.ConfigurationPublisher;
+import org.clementinequay.core.spread.RevisionKeeper;
 import org.clementinequay.core.time.RuntimeClock;
-import org.clementinequay.server.control.DutyHolder;
+import org.clementinequay.server.control.DutyWorker;
 import org.clementinequay.server.control.HttpOrderPort;
 import org.clementinequay.server.control.LeasedDuty;
+import org.clementinequay.server.control.RolloutDuty;
+import org.clementinequay.server.control.RolloutEvidence;
 import org.clementinequay.server.control.UpstreamOrdersDuty;
-import org.clementinequay.server.peer.PeerNetwork;
+import org.clementinequay.server.peer.DutyPreference;
+import org.clementinequay.server.peer.LeaseDuty;
 import org.clementinequay.server.settings.Settings;
 import org.eclipse.jetty.client.HttpClient;
 
@@ -21,62 +22,51 @@
 final class ControlParts implements AutoCloseable {
   private static final int CLIENT_THREADS = 8;
 
-  private final Settings settings;
-  private final PeerNetwork peers;
   private final HttpClient http = HttpParts.client("order", CLIENT_THREADS);
-  private final List<DutyHolder> holders = new ArrayList<>();
+  private final LeaseDuty leases;
+  private final List<DutyWorker> workers = new ArrayList<>();
 
   ControlParts(
       Settings settings,
       Incarnation self,
       RuntimeClock clock,
       PlatformClients platform,
-      PeerNetwork peers,
-      Supplier<List<Upstream>> upstreams) {
-    this.settings = settings;
-    this.peers = peers;
+      DutyPreference preference,
+      ConfigurationState configuration,
+      RevisionKeeper keeper,
+      RolloutEvidence evidence) {
+    leases = new LeaseDuty(new LeaseStore(platform.table), self, preference::isPreferred, clock);
     add(
-        new UpstreamOrdersDuty(settings.domain(), upstreams, new HttpOrderPort(http)),
-        self,
-        clock,
-        platform);
-  }
-
-  private void add(
-      LeasedDuty duty, Incarnation self, RuntimeClock clock, PlatformClients platform) {
-    holders.add(
-        new DutyHolder(
-            duty,
+        new UpstreamOrdersDuty(
+            settings.domain(), configuration::upstreams, new HttpOrderPort(http)),
+        clock);
+    add(
+        new RolloutDuty(
             platform.table,
-            self,
-            () -> preferred(duty.name()),
-            LeaseTerms.PRODUCTION,
-            clock));
+            new ConfigurationPublisher(platform.table, platform.objects, clock),
+            keeper::current,
+            evidence,
+            clock),
+        clock);
   }
 
-  private boolean preferred(String duty) {
-    List<PeerNetwork.Peer> candidates =
-        peers.peers().stream()
-            .filter(peer -> !peer.leaving() && peer.domain().equals(settings.domain()))
-            .toList();
-    Optional<PeerNetwork.Peer> best =
-        RendezvousHash.preferred(
-            duty, candidates, PeerNetwork.Peer::host, PeerNetwork.Peer::weight);
-    double own = RendezvousHash.score(duty, settings.name(), settings.weight());
-    return best.isEmpty()
-        || own > RendezvousHash.score(duty, best.get().host(), best.get().weight());
+  private void add(LeasedDuty duty, RuntimeClock clock) {
+    workers.add(
+        new DutyWorker(duty, leases.compete(duty.name()), () -> leases.lease(duty.name()), clock));
   }
 
   void start() throws Exception {
     http.start();
-    holders.forEach(DutyHolder::start);
+    leases.start();
+    workers.forEach(DutyWorker::start);
   }
 
   @Override
   public void close() throws Exception {
-    for (DutyHolder holder : holders) {
-      holder.close();
+    for (DutyWorker worker : workers) {
+      worker.close();
     }
+    leases.close();
     http.stop();
   }
 }
--- a/server/src/main/java/org/clementinequay/server/entry/EntryHost.java
+++ b/server/src/main/java/org/clementinequay/server/entry/EntryHost.java
@@ -7,8 +7,10 @@
 import java.util.Optional;
 import java.util.SplittableRandom;
 import org.clementinequay.core.Incarnation;
+import org.clementinequay.core.ModelVersion;
 import org.clementinequay.core.config.RevisionedConfiguration;
 import org.clementinequay.core.config.RouterConfiguration;
+import org.clementinequay.core.rollout.RolloutBrake;
 import org.clementinequay.core.spread.ConfigurationPublisher;
 import org.clementinequay.core.spread.ConfigurationReader;
 import org.clementinequay.core.spread.RevisionKeeper;
@@ -16,22 +18,31 @@
 import org.clementinequay.core.time.RuntimeClock;
 import org.clementinequay.core.time.SystemClock;
 import org.clementinequay.server.billing.BillingMetrics;
+import org.clementinequay.server.console.ConsoleHandler;
+import org.clementinequay.server.control.RolloutEvidence;
 import org.clementinequay.server.document.DocumentParser;
 import org.clementinequay.server.metrics.RouterMetrics;
 import org.clementinequay.server.operator.ConfigurationDesk;
 import org.clementinequay.server.operator.OperatorHandler;
 import org.clementinequay.server.operator.OperatorLogins;
 import org.clementinequay.server.peer.ConfigurationDuty;
+import org.clementinequay.server.peer.DutyPreference;
 import org.clementinequay.server.peer.HeartbeatContent;
 import org.clementinequay.server.peer.PeerIdentity;
+import org.clementinequay.server.peer.PeerMessage;
 import org.clementinequay.server.peer.RevisionSpread;
 import org.clementinequay.server.peer.TcpPeerNetwork;
 import org.clementinequay.server.settings.Settings;
+import org.eclipse.jetty.server.Handler;
 import org.eclipse.jetty.server.Server;
 
 /** One entry host: wires its parts together, starts them, and stops them gracefully. */
 public final class EntryHost implements AutoCloseable {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+  /** Hosts among which the bound on false stops is divided: the largest deployment of today. */
+  private static final int ASSUMED_HOSTS = 9;
+
   private static final int CALLER_THREADS = 64;
   private static final int OPERATOR_THREADS = 16;
   private static final Duration DRAIN_POLL = Duration.ofMillis(20);
@@ -51,6 +62,7 @@
   private final ConfigurationDuty configurationDuty;
   private final BillingParts billing;
   private final ControlParts control;
+  private final PolicyExchange exchange;
   private final RequestPath path;
   private final Server callers;
   private final Server operators;
@@ -62,29 +74,60 @@
    * @throws IOException if the peers' address cannot be bound
    */
   public EntryHost(Settings settings) throws IOException {
+    this(settings, new SplittableRandom());
+  }
+
+  /**
+   * Creates the parts with a given source of the random numbers that choose versions and upstreams,
+   * so that tests are repeatable.
+   *
+   * @throws IOException if the peers' address cannot be bound
+   */
+  public EntryHost(Settings settings, SplittableRandom random) throws IOException {
     this.settings = settings;
     this.platform = new PlatformClients(settings);
     this.peers = network();
     this.spread = new RevisionSpread(peers, EntryHost::parse, clock);
     this.keeper = spread.keeper();
-    this.configuration = new ConfigurationState(keeper, clock);
+    RolloutBrake brake = new RolloutBrake(ASSUMED_HOSTS);
+    RolloutEvidence evidence = new RolloutEvidence(brake, this::stopped);
+    this.configuration = new ConfigurationState(keeper, brake, clock);
+    keeper.addListener(revision -> evidence.configured(revision.configuration()));
     ConfigurationPublisher publisher =
         new ConfigurationPublisher(platform.table, platform.objects, clock);
     this.configurationDuty =
         new ConfigurationDuty(
             new ConfigurationReader(publisher, keeper, EntryHost::parse, spread::askPeers, clock),
             clock,
-            new SplittableRandom());
+            random.split());
     this.billing =
         new BillingParts(settings, incarnation, clock, platform, peers, billingMetrics());
     this.path =
         new RequestPath(
-            settings, incarnation, clock, platform, configuration, peers, billing, metrics);
+            settings,
+            incarnation,
+            clock,
+            random,
+            platform,
+            configuration,
+            peers,
+            billing,
+            evidence,
+            metrics);
     this.control =
-        new ControlParts(settings, incarnation, clock, platform, peers, configuration::upstreams);
+        new ControlParts(
+            settings,
+            incarnation,
+            clock,
+            platform,
+            new DutyPreference(identity(), peers),
+            configuration,
+            keeper,
+            evidence);
+    this.exchange = new PolicyExchange(peers, path, evidence, clock);
     peers.addListener(
         new PeerEvents(
-            peers, path, configuration, incarnation, settings.weight(), settings.domain()));
+            peers, path, brake, evidence, incarnation, settings.weight(), settings.domain()));
     this.callers =
         HttpParts.server("caller", settings.listeners().callers(), CALLER_THREADS, path.handler);
     this.operators =
@@ -93,11 +136,13 @@
     registerGauges();
   }
 
+  private PeerIdentity identity() {
+    return new PeerIdentity(
+        incarnation, settings.name(), settings.domain(), settings.region(), settings.weight());
+  }
+
   private TcpPeerNetwork network() throws IOException {
-    PeerIdentity identity =
-        new PeerIdentity(
-            incarnation, settings.name(), settings.domain(), settings.region(), settings.weight());
-    return TcpPeerNetwork.builder(identity)
+    return TcpPeerNetwork.builder(identity())
         .listen(HttpParts.parse(settings.listeners().peers()))
         .directory(platform.directory)
         .clock(clock)
@@ -105,14 +150,13 @@
         .build();
   }
 
-  private OperatorHandler operators(ConfigurationPublisher publisher) {
+  private Handler operators(ConfigurationPublisher publisher) {
+    OperatorLogins logins = new OperatorLogins(settings.operators());
     ConfigurationDesk desk = new ConfigurationDesk(publisher, this::accepted);
-    return new OperatorHandler(
-        new OperatorLogins(settings.operators()),
-        desk,
-        new EntryView(this),
-        new TableBills(platform),
-        metrics::scrape);
+    EntryView view = new EntryView(this);
+    OperatorHandler api =
+        new OperatorHandler(logins, desk, view, new TableBills(platform), metrics::scrape);
+    return new Handler.Sequence(new ConsoleHandler(logins, desk, view, clock), api);
   }
 
   private void registerGauges() {
@@ -128,6 +172,12 @@
     return new BillingMetrics() {};
   }
 
+  /** This host's brake stopped a version: the peers stop it too. */
+  private void stopped(ModelVersion version, String evidence) {
+    logger.atWarning().log("stopped version %s: %s", version, evidence);
+    peers.broadcast(new PeerMessage.VersionStopped(version.toString(), evidence));
+  }
+
   private HeartbeatContent heartbeat() {
     long open = path.handler.openRequests();
     return new HeartbeatContent(keeper.revision(), leaving, open, open / settings.weight());
@@ -142,6 +192,7 @@
     billing.start();
     configurationDuty.start();
     control.start();
+    exchange.start();
     callers.start();
     operators.start();
     logger.atInfo().log(
@@ -212,7 +263,7 @@
   }
 
   private static Optional<RouterConfiguration> parse(String text) {
-    return DocumentParser.parse(text).configuration();
+    return DocumentParser.parseAccepted(text);
   }
 
   /** Puts a revision in force that an operator submitted here, without waiting for its reader. */
@@ -243,6 +294,7 @@
     }
     callers.stop();
     control.close();
+    exchange.close();
     configurationDuty.close();
     path.close();
     billing.close();
--- a/server/src/main/java/org/clementinequay/server/entry/PeerEvents.java
+++ b/server/src/main/java/org/clementinequay/server/entry/PeerEvents.java
@@ -5,6 +5,8 @@
 import java.util.Map;
 import org.clementinequay.core.Incarnation;
 import org.clementinequay.core.ModelVersion;
+import org.clementinequay.core.rollout.RolloutBrake;
+import org.clementinequay.server.control.RolloutEvidence;
 import org.clementinequay.server.peer.PeerMessage;
 import org.clementinequay.server.peer.PeerNetwork;
 
@@ -14,7 +16,8 @@
 
   private final PeerNetwork network;
   private final RequestPath path;
-  private final ConfigurationState configuration;
+  private final RolloutBrake brake;
+  private final RolloutEvidence evidence;
   private final Incarnation self;
   private final double weight;
   private final String domain;
@@ -22,13 +25,15 @@
   PeerEvents(
       PeerNetwork network,
       RequestPath path,
-      ConfigurationState configuration,
+      RolloutBrake brake,
+      RolloutEvidence evidence,
       Incarnation self,
       double weight,
       String domain) {
     this.network = network;
     this.path = path;
-    this.configuration = configuration;
+    this.brake = brake;
+    this.evidence = evidence;
     this.self = self;
     this.weight = weight;
     this.domain = domain;
@@ -51,7 +56,9 @@
 
   private void stop(PeerNetwork.Peer from, PeerMessage.VersionStopped stopped) {
     try {
-      if (configuration.stop(ModelVersion.parse(stopped.modelVersion()))) {
+      ModelVersion version = ModelVersion.parse(stopped.modelVersion());
+      if (!brake.isStopped(version)) {
+        brake.peerStopped(version, stopped.evidence());
         logger.atWarning().log(
             "peer %s stopped version %s: %s",
             from.host(), stopped.modelVersion(), stopped.evidence());
@@ -69,6 +76,7 @@
   @Override
   public void unlinked(PeerNetwork.Peer peer) {
     path.tracker.peerGone(peer.incarnation());
+    evidence.peerGone(peer.incarnation());
     updateMembers();
   }
 
--- a/server/src/main/java/org/clementinequay/server/operator/ConfigurationDesk.java
+++ b/server/src/main/java/org/clementinequay/server/operator/ConfigurationDesk.java
@@ -106,13 +106,18 @@
     }
   }
 
-  private Optional<RouterConfiguration> configuration(long revision) throws PlatformException {
+  /**
+   * Returns the configuration of a revision, the empty one for 0.
+   *
+   * @return empty if the document is not available or has errors
+   */
+  public Optional<RouterConfiguration> configuration(long revision) throws PlatformException {
     if (revision == 0) {
       return Optional.of(RouterConfiguration.builder().build());
     }
     Optional<RevisionRecord> record = publisher.revision(revision);
     Optional<String> text =
         record.isEmpty() ? Optional.empty() : publisher.document(record.get().hash());
-    return text.flatMap(t -> DocumentParser.parse(t).configuration());
+    return text.flatMap(DocumentParser::parseAccepted);
   }
 }
--- a/server/src/main/java/org/clementinequay/server/peer/TcpPeerNetwork.java
+++ b/server/src/main/java/org/clementinequay/server/peer/TcpPeerNetwork.java
@@ -16,10 +16,10 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
-import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
+import java.util.stream.Collectors;
 import javax.net.ssl.SSLContext;
 import org.clementinequay.core.Incarnation;
 import org.clementinequay.core.membership.LinkTopology;
@@ -64,13 +64,13 @@
   private final Supplier<HeartbeatContent> content;
   private final PeerSockets sockets;
   private final Dialler dialler;
+  private final SurplusLinks surplusLinks = new SurplusLinks();
   private final ServerSocket server;
   private final LinkTable table;
   private final PeerStatistics statistics = new PeerStatistics();
   private final Set<PeerLink> pending = ConcurrentHashMap.newKeySet();
   private final List<Listener> listeners = new CopyOnWriteArrayList<>();
   private final List<Thread> duties = new ArrayList<>();
-  private final AtomicLong heartbeats = new AtomicLong();
   private final AtomicBoolean closed = new AtomicBoolean();
   private final Object linkChanges = new Object();
   private final PeerLink.Owner owner = new LinkOwner();
@@ -83,7 +83,7 @@
     this.directory = Objects.requireNonNull(builder.directory, "host directory");
     this.content = builder.content;
     this.sockets = new PeerSockets(builder.tls, timings.handshakeTimeout());
-    this.dialler = new Dialler(timings, builder.random);
+    this.dialler = new Dialler(self.host(), timings, builder.random);
     this.table =
         new LinkTable(self.incarnation(), QUIET_HEARTBEATS * timings.heartbeatInterval().toNanos());
     this.server = new ServerSocket();
@@ -241,7 +241,11 @@
 
   private void readHosts() {
     try {
-      targets = targets(directory.hosts());
+      List<HostEntry> hosts = directory.hosts();
+      targets = targets(hosts);
+      surplusLinks
+          .find(table.links(), names(hosts), names(targets))
+          .forEach(link -> link.end(PeerLink.End.SURPLUS));
     } catch (PlatformException e) {
       statistics.add(Counter.HOST_LIST_FAILURES, 1);
       logger.atWarning().atMostEvery(1, TimeUnit.MINUTES).withCause(e).log(
@@ -249,6 +253,10 @@
     }
   }
 
+  private static Set<String> names(List<HostEntry> hosts) {
+    return hosts.stream().map(HostEntry::name).collect(Collectors.toSet());
+  }
+
   private List<HostEntry> targets(List<HostEntry> hosts) {
     List<HostEntry> candidates =
         hosts.stream().filter(h -> h.role().equals(ENTRY_ROLE) && !h.leaving()).toList();
@@ -279,11 +287,10 @@
         link.end(PeerLink.End.SILENT);
       }
     }
-    synchronized (heartbeats) {
-      long sequence = heartbeats.incrementAndGet();
+    HeartbeatContent current = content.get();
+    for (PeerLink link : table.links()) {
       try {
-        byte[] frame = FrameCodec.encode(content.get().message(sequence));
-        table.links().forEach(link -> link.beat(sequence, frame));
+        link.beat(current);
       } catch (IOException e) {
         logger.atSevere().withCause(e).log("cannot encode a heartbeat");
       }
--- a/server/src/test/java/org/clementinequay/server/peer/TcpPeerNetworkTest.java
+++ b/server/src/test/java/org/clementinequay/server/peer/TcpPeerNetworkTest.java
@@ -10,10 +10,17 @@
 import java.security.KeyStore;
 import java.time.Duration;
 import java.util.List;
+import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.function.UnaryOperator;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
 import javax.net.ssl.KeyManagerFactory;
 import javax.net.ssl.SSLContext;
 import javax.net.ssl.TrustManagerFactory;
+import org.clementinequay.core.membership.LinkTopology;
+import org.clementinequay.core.membership.Member;
+import org.clementinequay.core.platform.HostEntry;
 import org.clementinequay.server.peer.PeerStatistics.Counter;
 import org.testng.annotations.Test;
 
@@ -58,6 +65,38 @@
       }
     }
 
+    /** Guards against links to other domains that pile up as hosts are replaced. */
+    @Test
+    public void closesLinksThatTheTopologyNoLongerAsksFor() throws Exception {
+      List<String> names = List.of("b", "c", "d");
+      Set<String> chosen =
+          new LinkTopology(names.stream().map(name -> new Member(name, "domain-2")).toList())
+              .targets(new Member("a", "domain-1")).stream()
+                  .map(Member::name)
+                  .collect(Collectors.toSet());
+      String other = names.stream().filter(name -> !chosen.contains(name)).findFirst().get();
+      try (TestHost a = new TestHost("a", 1);
+          TestHost b = new TestHost("b", 2);
+          TestHost c = new TestHost("c", 3);
+          TestHost d = new TestHost("d", 4)) {
+        List<TestHost> hosts = List.of(b, c, d);
+        HostEntry[] entries =
+            hosts.stream()
+                .map(h -> new HostEntry(h.identity.host(), "entry", "domain-2", h.address(), false))
+                .toArray(HostEntry[]::new);
+        a.sees(Stream.of(entries).filter(e -> e.name().equals(other)).toArray(HostEntry[]::new));
+        Await.until("linked", () -> a.network.peers().size() == 1);
+        a.sees(entries);
+        Await.until(
+            "moved",
+            () ->
+                a.network.peers().stream()
+                    .map(PeerNetwork.Peer::host)
+                    .collect(Collectors.toSet())
+                    .equals(chosen));
+      }
+    }
+
     /** Guards against links lost because the platform's list cannot be read. */
     @Test
     public void keepsTheLastHostList() throws Exception {
@@ -187,6 +226,19 @@
 
   /** Other ends that break the protocol. */
   public static class InvalidInput {
+    /** Keeps links to the raw peer, which does not answer heartbeats, for the whole test. */
+    private static final UnaryOperator<TcpPeerNetwork.Builder> PATIENT =
+        builder ->
+            builder.timings(
+                new PeerTimings(
+                    Duration.ofMillis(50),
+                    Duration.ofMinutes(5),
+                    Duration.ofMinutes(5),
+                    Duration.ofMillis(20),
+                    Duration.ofMillis(200),
+                    Duration.ZERO,
+                    Duration.ofMillis(50)));
+
     /** Guards against a listener that arbitrary bytes stop or that they fill with links. */
     @Test
     public void survivesGarbage() throws Exception {
@@ -213,7 +265,7 @@
     @Test
     public void closesOnOversizedFrame() throws Exception {
       byte[] length = ByteBuffer.allocate(4).putInt(Integer.MAX_VALUE).array();
-      try (TestHost a = new TestHost("a", 1);
+      try (TestHost a = new TestHost("a", 1, PATIENT);
           RawPeer raw = new RawPeer(a)) {
         expectClosed(a, length);
         raw.join();
@@ -227,7 +279,7 @@
     /** Guards against a link to a release that this one does not understand. */
     @Test
     public void refusesOldProtocol() throws Exception {
-      try (TestHost a = new TestHost("a", 1);
+      try (TestHost a = new TestHost("a", 1, PATIENT);
           RawPeer raw = new RawPeer(a)) {
         raw.send(RawPeer.hello(TcpPeerNetwork.OLDEST_PROTOCOL - 1));
         raw.untilClosed();
@@ -239,7 +291,7 @@
     @Test
     public void dropsUnknownMessageTypes() throws Exception {
       byte[] body = {(byte) 0x81, (byte) 0xa1, 't', (byte) 0xa4, 'n', 'e', 'x', 't'};
-      try (TestHost a = new TestHost("a", 1);
+      try (TestHost a = new TestHost("a", 1, PATIENT);
           RawPeer raw = new RawPeer(a)) {
         raw.join();
         raw.sendBytes(ByteBuffer.allocate(4 + body.length).putInt(body.length).put(body).array());
@@ -253,15 +305,7 @@
     /** Guards against a sender that is blocked, or told "sent", by a peer that does not read. */
     @Test
     public void reportsFullQueue() throws Exception {
-      PeerTimings patient =
-          new PeerTimings(
-              Duration.ofMillis(50),
-              Duration.ofMinutes(5),
-              Duration.ofMinutes(5),
-              Duration.ofMillis(20),
-              Duration.ofMillis(200),
-              Duration.ofMillis(50));
-      try (TestHost a = new TestHost("a", 1, builder -> builder.timings(patient));
+      try (TestHost a = new TestHost("a", 1, PATIENT);
           RawPeer raw = new RawPeer(a)) {
         raw.join();
         Await.until("linked", () -> a.network.peers().size() == 1);
