Move account limits with the demand and shed by measured waits

Shares now move as a bounded counter, so lost reports never add share; ledgers of earlier member sets are kept, else a returning host's gifts counted twice.

--- a/bench/src/main/java/org/clementinequay/bench/policy/PolicyBench.java
+++ b/bench/src/main/java/org/clementinequay/bench/policy/PolicyBench.java
@@ -57,6 +57,7 @@
       case "cascade" -> new CascadeBench(results).run();
       case "rollout" -> new RolloutBench(results).run();
       case "placement" -> new PlacementBench(results).run();
+      case "limits" -> new LimitsBench(results).run();
       default -> throw new IllegalArgumentException(name);
     }
   }
--- a/core/src/main/java/org/clementinequay/core/limit/LimitReport.java
+++ b/core/src/main/java/org/clementinequay/core/limit/LimitReport.java
@@ -23,10 +23,13 @@
    * Usage of one account at the origin.
    *
    * @param demand requests per second that arrived there, admitted or not
+   * @param limit the account's rate over all hosts as the origin knows it, in requests per second;
+   *     hosts without requests of the account learn it from here
    * @param share part of the account's limits that the origin applies, from 0 to 1
    * @param granted total share that the origin has given to each other host in this epoch
    */
-  public record AccountUsage(double demand, double share, Map<Incarnation, Double> granted) {
+  public record AccountUsage(
+      double demand, double limit, double share, Map<Incarnation, Double> granted) {
     /** Copies the map. */
     public AccountUsage {
       granted = Map.copyOf(granted);
--- a/core/src/test/java/org/clementinequay/core/limit/AccountLimiterTest.java
+++ b/core/src/test/java/org/clementinequay/core/limit/AccountLimiterTest.java
@@ -52,4 +52,72 @@
       assertTrue(limiter.tryAcquire("x", limits, SECOND).admitted());
     }
   }
+
+  /** Tests of {@link AccountLimiter#rebalance} and {@link AccountLimiter#merge}. */
+  public static class Rebalance {
+    private static final AccountLimits LIMITS = new AccountLimits(100, 10, 1000);
+
+    private static AccountLimiter[] pair() {
+      AccountLimiter[] pair = {new AccountLimiter(A), new AccountLimiter(B)};
+      for (AccountLimiter limiter : pair) {
+        limiter.membersChanged(Map.of(A, 1.0, B, 1.0));
+      }
+      return pair;
+    }
+
+    /** Sends demand to the first host only and exchanges reports. */
+    private static void run(AccountLimiter[] pair, int seconds, boolean loseEveryOther) {
+      for (int t = 0; t < seconds; t++) {
+        for (int i = 0; i < 100; i++) {
+          pair[0].tryAcquire("x", LIMITS, t * SECOND + i * SECOND / 100);
+        }
+        long now = (t + 1) * SECOND;
+        LimitReport a = pair[0].rebalance(now);
+        LimitReport b = pair[1].rebalance(now);
+        pair[1].merge(a, now);
+        if (!loseEveryOther || t % 2 == 0) {
+          pair[0].merge(b, now);
+          pair[0].merge(b, now);
+        }
+        assertTrue(pair[0].share("x") + pair[1].share("x") <= 1 + 1e-9);
+      }
+    }
+
+    // Guards against shares that stay where there is no demand.
+    @Test
+    public void shareMovesToTheDemand() {
+      AccountLimiter[] pair = pair();
+      run(pair, 20, false);
+      assertTrue(pair[0].share("x") > 0.8, "share: " + pair[0].share("x"));
+    }
+
+    // Guards against shares that add up to more than the whole when reports are lost or repeated.
+    @Test
+    public void lostAndRepeatedReportsNeverAddShare() {
+      AccountLimiter[] pair = pair();
+      run(pair, 20, true);
+      assertTrue(pair[0].share("x") > 0.8, "share: " + pair[0].share("x"));
+    }
+
+    // Guards against a report of other members that gives out a share twice.
+    @Test
+    public void reportOfOtherMembersIsIgnored() {
+      AccountLimiter[] pair = pair();
+      run(pair, 20, false);
+      LimitReport old = pair[1].rebalance(21 * SECOND);
+      pair[0].membersChanged(Map.of(A, 1.0, B, 1.0, new Incarnation("c".repeat(32)), 2.0));
+      pair[0].merge(old, 21 * SECOND);
+      assertEquals(pair[0].share("x"), 0.25, 1e-9);
+    }
+
+    // Guards against gifts that count twice when a dropped host, which kept its share, returns.
+    @Test
+    public void returnToEarlierMembersKeepsTheGifts() {
+      AccountLimiter[] pair = pair();
+      run(pair, 20, false);
+      pair[1].membersChanged(Map.of(B, 1.0));
+      pair[1].membersChanged(Map.of(A, 1.0, B, 1.0));
+      assertTrue(pair[0].share("x") + pair[1].share("x") <= 1 + 1e-9);
+    }
+  }
 }
--- a/core/src/test/java/org/clementinequay/core/limit/LoadShedderTest.java
+++ b/core/src/test/java/org/clementinequay/core/limit/LoadShedderTest.java
@@ -23,4 +23,19 @@
       assertTrue(new LoadShedder().admit(2, 1000, Double.NaN, 0).admitted());
     }
   }
+
+  /** Tests of {@link LoadShedder#started}. */
+  public static class Started {
+    // Guards against admitting a low class that higher ones keep waiting past its deadline.
+    @Test
+    public void measuredWaitsCorrectTheEstimateForATime() {
+      LoadShedder shedder = new LoadShedder();
+      for (int i = 0; i < 50; i++) {
+        shedder.started(2, 100, 1000, 0);
+      }
+      assertFalse(shedder.admit(2, 1000, 100, 0).admitted());
+      assertTrue(shedder.admit(0, 1000, 100, 0).admitted());
+      assertTrue(shedder.admit(2, 1000, 100, 60_000_000_000L).admitted());
+    }
+  }
 }
