--- a/server/src/main/java/org/clementinequay/server/entry/EntryProcess.java
+++ b/server/src/main/java/org/clementinequay/server/entry/EntryProcess.java
@@ -1,7 +1,6 @@
 package org.clementinequay.server.entry;
 
 import com.google.common.flogger.FluentLogger;
-import java.io.IOException;
 import java.util.SplittableRandom;
 import java.util.concurrent.CountDownLatch;
 import org.apache.logging.log4j.LogManager;
@@ -20,10 +19,6 @@
 
   @Override
   public void run(Settings settings) throws Exception {
-    if (settings.tls().isPresent()) {
-      // Plain HTTP in its place would send passwords and keys in the clear without notice.
-      throw new IOException("the listeners do not support \"tls\" yet");
-    }
     Long seed = Long.getLong(SEED_PROPERTY);
     EntryHost host =
         seed == null
--- a/server/src/main/java/org/clementinequay/server/entry/EntryView.java
+++ b/server/src/main/java/org/clementinequay/server/entry/EntryView.java
@@ -41,7 +41,7 @@
         host.keeper().revision(),
         ageNanos / NANOS_PER_MILLI,
         host.path().handler.openRequests(),
-        host.configuration().stopped().stream().map(ModelVersion::toString).sorted().toList(),
+        host.configuration().stopped().stream().map(ModelVersion::toString).toList(),
         peers(),
         upstreams());
   }
--- a/server/src/main/java/org/clementinequay/server/entry/RequestPath.java
+++ b/server/src/main/java/org/clementinequay/server/entry/RequestPath.java
@@ -9,7 +9,7 @@
 import org.clementinequay.core.claim.ClaimService;
 import org.clementinequay.core.dispatch.UpstreamTable;
 import org.clementinequay.core.limit.AccountLimiter;
-import org.clementinequay.core.placement.TwoChoicesPolicy;
+import org.clementinequay.core.placement.EstimatedCompletionPolicy;
 import org.clementinequay.core.placement.UpstreamTracker;
 import org.clementinequay.core.session.SessionKey;
 import org.clementinequay.core.session.SessionTokens;
@@ -32,6 +32,7 @@
 import org.clementinequay.server.pipeline.ReplyFilter;
 import org.clementinequay.server.pipeline.RunFilter;
 import org.clementinequay.server.pipeline.SessionFilter;
+import org.clementinequay.server.pipeline.VersionObserver;
 import org.clementinequay.server.settings.Settings;
 import org.clementinequay.server.upstream.LoadReportReader;
 import org.clementinequay.server.upstream.UpstreamClient;
@@ -64,6 +65,7 @@
       ConfigurationState configuration,
       PeerNetwork peers,
       BillingParts billing,
+      VersionObserver observer,
       RouterMetrics metrics) {
     this.clock = clock;
     this.peers = peers;
@@ -76,8 +78,7 @@
             clock,
             ClaimWriter.Metrics.NONE);
     this.rates = new LearnedRates(incarnation);
-    this.learning =
-        new CascadeLearning(rates, ratings, random.split(), clock, (version, good) -> {});
+    this.learning = new CascadeLearning(rates, ratings, random.split(), clock, observer);
     SessionTokens tokens = new SessionTokens(sessionKeys(settings));
     ChatReply replies = new ChatReply(tokens, clock);
     Dispatcher dispatcher = dispatcher(settings, random, configuration);
@@ -114,7 +115,7 @@
         .ratings(ratings)
         .learning(learning)
         .events(upstream -> broadcast(upstream, UpstreamState.EJECTED))
-        .placement(new TwoChoicesPolicy(random.split()))
+        .placement(new EstimatedCompletionPolicy())
         .build();
   }
 
--- a/server/src/main/java/org/clementinequay/server/pipeline/CascadeLearning.java
+++ b/server/src/main/java/org/clementinequay/server/pipeline/CascadeLearning.java
@@ -3,7 +3,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.OptionalDouble;
-import java.util.function.BiConsumer;
 import java.util.random.RandomGenerator;
 import org.clementinequay.core.ModelVersion;
 import org.clementinequay.core.cascade.CascadePlan;
@@ -40,24 +39,20 @@
   private final RatingQueue queue;
   private final RandomGenerator random;
   private final RuntimeClock clock;
-  private final BiConsumer<ModelVersion, Boolean> ratingObserver;
+  private final VersionObserver observer;
 
-  /**
-   * Creates the connection.
-   *
-   * @param ratingObserver told of each rating of a released answer, and whether it was good
-   */
+  /** Creates the connection; the observer is told of attempts and ratings. */
   public CascadeLearning(
       LearnedRates rates,
       RatingQueue queue,
       RandomGenerator random,
       RuntimeClock clock,
-      BiConsumer<ModelVersion, Boolean> ratingObserver) {
+      VersionObserver observer) {
     this.rates = rates;
     this.queue = queue;
     this.random = random;
     this.clock = clock;
-    this.ratingObserver = ratingObserver;
+    this.observer = observer;
   }
 
   /** Chooses the plan of a request among the versions, cheapest first. */
@@ -92,6 +87,7 @@
   void draftRated(Exchange exchange, int step, double score) {
     boolean good = score >= exchange.plan.get(step).acceptScore();
     rates.record(key(exchange, step, RateKey.Kind.PASS), good, clock.nanoTime());
+    observer.rated(exchange.plan.get(step).version(), good);
   }
 
   /** Takes up the time of a whole answer. */
@@ -99,6 +95,12 @@
     long now = clock.nanoTime();
     double millis = (now - startedNanos) / (double) NANOS_PER_MILLI;
     rates.recordTime(exchange.className(), version, millis, now);
+    observer.ended(version, false);
+  }
+
+  /** Takes up an attempt that failed on the upstream's side. */
+  void failed(ModelVersion version) {
+    observer.ended(version, true);
   }
 
   /** Decides whether the answer of this request is rated after its release. */
@@ -129,7 +131,7 @@
     if (exchange.session.isEmpty()) {
       rates.record(key(exchange, step, kind), good, clock.nanoTime());
     }
-    ratingObserver.accept(released.version(), good);
+    observer.rated(released.version(), good);
   }
 
   private static RateKey key(Exchange exchange, int step, RateKey.Kind kind) {
--- a/server/src/main/java/org/clementinequay/server/pipeline/ChatRun.java
+++ b/server/src/main/java/org/clementinequay/server/pipeline/ChatRun.java
@@ -244,6 +244,7 @@
     }
     if (attempt.upstreamAtFault() && remainingMillis() > 0) {
       dispatcher.failed(attempt.upstream, expectedTokens);
+      dispatcher.learning.failed(step().version());
     } else {
       dispatcher.abandoned(attempt.upstream, expectedTokens);
     }
