Shed by estimated wait, learn speeds, and share limits among listed hosts

Cause: the placement learned no speed on the request path, nothing was shed, and the limits counted only linked peers, of which a host sees a part: with three domains of three hosts the shares would add up to 9/7. Change: speeds are measured from the first event to the last, the first attempt of a request is refused as overloaded with a retry hint, members of limits are the platform's list by name. Ruled out: members by process, which change with every restart.

--- a/bench/src/main/java/org/clementinequay/bench/Main.java
+++ b/bench/src/main/java/org/clementinequay/bench/Main.java
@@ -3,7 +3,9 @@
 import java.util.Arrays;
 import java.util.List;
 import org.clementinequay.bench.capacity.PeerSlopes;
+import org.clementinequay.bench.faults.FaultsBench;
 import org.clementinequay.bench.path.PathBench;
+import org.clementinequay.bench.policy.PolicyBench;
 
 /** Runs one of the measurements; started by {@code bin/bench}. */
 public final class Main {
@@ -18,8 +20,10 @@
     switch (name) {
       case "path" -> PathBench.run(options);
       case "peers" -> PeerSlopes.run(options);
+      case "faults" -> System.exit(FaultsBench.run(options));
+      case "policy" -> System.exit(PolicyBench.run(options));
       default -> {
-        System.err.println("usage: bench path|peers [options]");
+        System.err.println("usage: bench path|peers|faults|policy [options]");
         System.exit(EXIT_USAGE);
       }
     }
--- a/server/src/main/java/org/clementinequay/server/entry/EntryHost.java
+++ b/server/src/main/java/org/clementinequay/server/entry/EntryHost.java
@@ -63,6 +63,7 @@
   private final BillingParts billing;
   private final ControlParts control;
   private final PolicyExchange exchange;
+  private final AccountMembers members;
   private final RequestPath path;
   private final Server callers;
   private final Server operators;
@@ -124,10 +125,10 @@
             configuration,
             keeper,
             evidence);
+    this.members =
+        new AccountMembers(settings.name(), platform.directory, peers, path.limiter, clock);
     this.exchange = new PolicyExchange(peers, path, evidence, clock);
-    peers.addListener(
-        new PeerEvents(
-            peers, path, brake, evidence, incarnation, settings.weight(), settings.domain()));
+    peers.addListener(new PeerEvents(path, brake, evidence, settings.domain()));
     this.callers =
         HttpParts.server("caller", settings.listeners().callers(), CALLER_THREADS, path.handler);
     this.operators =
@@ -192,6 +193,7 @@
     billing.start();
     configurationDuty.start();
     control.start();
+    members.start();
     exchange.start();
     callers.start();
     operators.start();
@@ -294,6 +296,7 @@
     }
     callers.stop();
     control.close();
+    members.close();
     exchange.close();
     configurationDuty.close();
     path.close();
--- a/server/src/main/java/org/clementinequay/server/entry/PeerEvents.java
+++ b/server/src/main/java/org/clementinequay/server/entry/PeerEvents.java
@@ -1,9 +1,6 @@
 package org.clementinequay.server.entry;
 
 import com.google.common.flogger.FluentLogger;
-import java.util.HashMap;
-import java.util.Map;
-import org.clementinequay.core.Incarnation;
 import org.clementinequay.core.ModelVersion;
 import org.clementinequay.core.rollout.RolloutBrake;
 import org.clementinequay.server.control.RolloutEvidence;
@@ -14,28 +11,15 @@
 final class PeerEvents implements PeerNetwork.Listener {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
-  private final PeerNetwork network;
   private final RequestPath path;
   private final RolloutBrake brake;
   private final RolloutEvidence evidence;
-  private final Incarnation self;
-  private final double weight;
   private final String domain;
 
-  PeerEvents(
-      PeerNetwork network,
-      RequestPath path,
-      RolloutBrake brake,
-      RolloutEvidence evidence,
-      Incarnation self,
-      double weight,
-      String domain) {
-    this.network = network;
+  PeerEvents(RequestPath path, RolloutBrake brake, RolloutEvidence evidence, String domain) {
     this.path = path;
     this.brake = brake;
     this.evidence = evidence;
-    this.self = self;
-    this.weight = weight;
     this.domain = domain;
   }
 
@@ -68,22 +52,9 @@
     }
   }
 
-  @Override
-  public void linked(PeerNetwork.Peer peer) {
-    updateMembers();
-  }
-
   @Override
   public void unlinked(PeerNetwork.Peer peer) {
     path.tracker.peerGone(peer.incarnation());
     evidence.peerGone(peer.incarnation());
-    updateMembers();
-  }
-
-  private void updateMembers() {
-    Map<Incarnation, Double> weights = new HashMap<>();
-    weights.put(self, weight);
-    network.peers().forEach(peer -> weights.put(peer.incarnation(), peer.weight()));
-    path.limiter.membersChanged(weights);
   }
 }
--- a/server/src/main/java/org/clementinequay/server/entry/PolicyExchange.java
+++ b/server/src/main/java/org/clementinequay/server/entry/PolicyExchange.java
@@ -104,7 +104,7 @@
     long now = clock.nanoTime();
     switch (counters.kind()) {
       case RATES -> path.rates.merge(json.readValue(counters.json(), RateReport.class), now);
-      case LIMITS -> path.limiter.merge(json.readValue(counters.json(), LimitReport.class));
+      case LIMITS -> path.limiter.merge(json.readValue(counters.json(), LimitReport.class), now);
       case EVIDENCE ->
           evidence.merge(
               from.incarnation(),
--- a/server/src/main/java/org/clementinequay/server/entry/RequestPath.java
+++ b/server/src/main/java/org/clementinequay/server/entry/RequestPath.java
@@ -70,7 +70,7 @@
     this.clock = clock;
     this.peers = peers;
     this.health = new UpstreamTable(clock);
-    this.limiter = new AccountLimiter(incarnation);
+    this.limiter = new AccountLimiter(AccountMembers.identity(settings.name()));
     this.ratings = new RatingQueue(platform.ratings, RATING_THREADS);
     this.claims =
         new ClaimWriter(
--- a/server/src/main/java/org/clementinequay/server/pipeline/ChatAttempt.java
+++ b/server/src/main/java/org/clementinequay/server/pipeline/ChatAttempt.java
@@ -10,6 +10,7 @@
 import org.clementinequay.core.config.Upstream;
 import org.clementinequay.core.dispatch.CorruptStreamException;
 import org.clementinequay.core.dispatch.EventStreamReader;
+import org.clementinequay.core.time.RuntimeClock;
 import org.clementinequay.server.upstream.UpstreamListener;
 import org.clementinequay.server.upstream.UpstreamTransport;
 import org.eclipse.jetty.util.Callback;
@@ -41,6 +42,7 @@
   final AttemptId id;
   final Upstream upstream;
   private final Owner owner;
+  private final RuntimeClock clock;
   private final boolean collects;
   private final boolean passes;
   private final EventStreamReader reader;
@@ -48,6 +50,7 @@
   private final Output output = new Output();
   private UpstreamTransport.Call call;
   private int status;
+  private long firstEventNanos;
   private boolean foreignAnswer;
   private boolean offered = true;
   private long promptTokens;
@@ -65,12 +68,14 @@
       AttemptId id,
       Upstream upstream,
       Owner owner,
+      RuntimeClock clock,
       boolean collects,
       boolean passes,
       long firstSequence) {
     this.id = id;
     this.upstream = upstream;
     this.owner = owner;
+    this.clock = clock;
     this.collects = collects;
     this.passes = passes;
     this.reader = new EventStreamReader(id, firstSequence);
@@ -102,6 +107,9 @@
       next.succeeded();
       return;
     }
+    if (firstEventNanos == 0) {
+      firstEventNanos = clock.nanoTime();
+    }
     try {
       reader.feed(bytes, this::event);
     } catch (CorruptStreamException e) {
@@ -178,6 +186,10 @@
     return reader.nextSequence();
   }
 
+  long firstEventNanos() {
+    return firstEventNanos;
+  }
+
   String text() {
     return text.toString();
   }
--- a/server/src/main/java/org/clementinequay/server/pipeline/ChatRun.java
+++ b/server/src/main/java/org/clementinequay/server/pipeline/ChatRun.java
@@ -89,8 +89,13 @@
             promptTokens,
             expectedTokens,
             affinityKey());
-    Optional<Upstream> upstream =
-        dispatcher.place(version.toString(), triedUpstreams, request, expectedTokens);
+    Optional<Upstream> upstream;
+    try {
+      upstream = dispatcher.place(version.toString(), triedUpstreams, request, expectedTokens);
+    } catch (RequestFailedException e) {
+      shed(e);
+      return;
+    }
     if (upstream.isEmpty()) {
       skipStep(RefusalReason.NO_UPSTREAM, "no upstream serves " + version + " now");
       return;
@@ -105,7 +110,8 @@
     triedUpstreams.add(upstream.name());
     AttemptId id = exchange.id().attempt(attemptNumber);
     ChatAttempt attempt =
-        new ChatAttempt(id, upstream, this, collects() || sampled, !collects(), 0);
+        new ChatAttempt(
+            id, upstream, this, dispatcher.clock, collects() || sampled, !collects(), 0);
     byte[] body = ChatBody.forUpstream(exchange.request().chat(), version);
     attempt.call(
         dispatcher.client.complete(
@@ -186,6 +192,12 @@
   private void finishWhole(ChatAttempt attempt) {
     dispatcher.succeeded(attempt.upstream, expectedTokens);
     dispatcher.learning.answered(exchange, step().version(), attemptStartedNanos);
+    if (resumptions == 0) {
+      dispatcher.tracker.measured(
+          attempt.upstream.name(),
+          (int) attempt.completionTokens(),
+          dispatcher.clock.nanoTime() - attempt.firstEventNanos());
+    }
     if (step().draft()) {
       rateDraft(attempt);
     } else {
@@ -277,7 +289,14 @@
     resumptions++;
     dispatcher.tracker.started(attempt.upstream.name(), expectedTokens);
     ChatAttempt rest =
-        new ChatAttempt(attempt.id, attempt.upstream, this, false, true, attempt.nextSequence());
+        new ChatAttempt(
+            attempt.id,
+            attempt.upstream,
+            this,
+            dispatcher.clock,
+            false,
+            true,
+            attempt.nextSequence());
     rest.call(
         dispatcher.client.resume(
             attempt.upstream, attempt.id, attempt.nextSequence(), remainingMillis(), rest));
@@ -301,6 +320,15 @@
     }
   }
 
+  private void shed(RequestFailedException refusal) {
+    if (offered) {
+      // An earlier step ran, so that the request as a whole cannot be reported as not-run.
+      fail(refusal.reason(), refusal.getMessage());
+    } else {
+      next.fail(refusal);
+    }
+  }
+
   private void nextStep() {
     stepIndex++;
     triesInStep = 0;
--- a/server/src/main/java/org/clementinequay/server/pipeline/Dispatcher.java
+++ b/server/src/main/java/org/clementinequay/server/pipeline/Dispatcher.java
@@ -5,9 +5,13 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
+import org.clementinequay.core.RefusalReason;
+import org.clementinequay.core.RequestFailedException;
 import org.clementinequay.core.config.Upstream;
 import org.clementinequay.core.dispatch.RetryBudget;
 import org.clementinequay.core.dispatch.UpstreamTable;
+import org.clementinequay.core.limit.Admission;
+import org.clementinequay.core.limit.LoadShedder;
 import org.clementinequay.core.placement.Placement;
 import org.clementinequay.core.placement.PlacementPolicy;
 import org.clementinequay.core.placement.PlacementRequest;
@@ -28,6 +32,7 @@
   final CascadeLearning learning;
   final UpstreamEvents events;
   private final PlacementPolicy placement;
+  private final LoadShedder shedder = new LoadShedder();
 
   /** Told when this host learns something of an upstream that its peers should know. */
   public interface UpstreamEvents {
@@ -53,9 +58,14 @@
     return new Builder();
   }
 
-  /** Chooses an upstream for an attempt and counts it as started there. */
+  /**
+   * Chooses an upstream for an attempt and counts it as started there.
+   *
+   * @throws RequestFailedException if the first attempt of a request would wait too long
+   */
   Optional<Upstream> place(
-      String work, Set<String> tried, PlacementRequest request, int expectedTokens) {
+      String work, Set<String> tried, PlacementRequest request, int expectedTokens)
+      throws RequestFailedException {
     List<Upstream> candidates = new ArrayList<>(available(work, tried));
     while (!candidates.isEmpty()) {
       List<UpstreamView> views = new ArrayList<>();
@@ -67,6 +77,9 @@
       if (chosen.isEmpty()) {
         return Optional.empty();
       }
+      if (tried.isEmpty()) {
+        shed(request, chosen.get());
+      }
       String name = chosen.get().upstream();
       Upstream upstream =
           candidates.stream().filter(u -> u.name().equals(name)).findFirst().orElseThrow();
@@ -79,6 +92,21 @@
     return Optional.empty();
   }
 
+  private void shed(PlacementRequest request, Placement chosen) throws RequestFailedException {
+    Admission admission =
+        shedder.admit(
+            request.priority(),
+            request.remainingMillis(),
+            chosen.estimatedWaitMillis(),
+            request.nowNanos());
+    if (!admission.admitted()) {
+      throw RequestFailedException.notRun(
+          RefusalReason.OVERLOADED,
+          "upstreams are overloaded for this request class",
+          admission.retryAfter());
+    }
+  }
+
   private List<Upstream> available(String work, Set<String> tried) {
     return configuration.current().map(c -> c.upstreamsOf(work)).orElse(List.of()).stream()
         .filter(u -> !tried.contains(u.name()) && health.available(u.name()))
--- a/server/src/main/java/org/clementinequay/server/pipeline/RouteRun.java
+++ b/server/src/main/java/org/clementinequay/server/pipeline/RouteRun.java
@@ -55,7 +55,13 @@
             0,
             0,
             OptionalLong.empty());
-    Optional<Upstream> upstream = dispatcher.place(exchange.route.name(), tried, request, 0);
+    Optional<Upstream> upstream;
+    try {
+      upstream = dispatcher.place(exchange.route.name(), tried, request, 0);
+    } catch (RequestFailedException e) {
+      next.fail(e);
+      return;
+    }
     if (upstream.isEmpty()) {
       fail(RefusalReason.NO_UPSTREAM, "no upstream serves route " + exchange.route.name());
       return;
