Keep the limiter's merge signature and refill on any clock origin

Reports now count as heard at the last rebalance. An account first seen by share() on a clock below zero would never have refilled; a test covers it.

--- a/bench/src/main/java/org/clementinequay/bench/policy/LimitsBench.java
+++ b/bench/src/main/java/org/clementinequay/bench/policy/LimitsBench.java
@@ -134,7 +134,7 @@
     for (int from = 0; from < limiters.length; from++) {
       for (int to = 0; to < limiters.length; to++) {
         if (!cut || (from < CUT_OFF_HOSTS) == (to < CUT_OFF_HOSTS)) {
-          limiters[to].merge(reports[from], now);
+          limiters[to].merge(reports[from]);
         }
       }
     }
--- a/core/src/main/java/org/clementinequay/core/limit/AccountLimiter.java
+++ b/core/src/main/java/org/clementinequay/core/limit/AccountLimiter.java
@@ -36,6 +36,7 @@
   private final Map<Incarnation, Long> sequences = new HashMap<>();
   private volatile Members members;
   private long sequence;
+  private long rebalancedNanos;
 
   /** Creates the limiter of one entry host, which has the whole limit until it knows its peers. */
   public AccountLimiter(Incarnation self) {
@@ -65,7 +66,7 @@
    * @param nowNanos monotonic time
    */
   public Admission tryAcquire(String account, AccountLimits limits, long nowNanos) {
-    Usage usage = usages.computeIfAbsent(account, name -> new Usage(nowNanos));
+    Usage usage = usages.computeIfAbsent(account, name -> new Usage());
     synchronized (usage) {
       return usage.tryAcquire(limits, usage.ledger(self, members).own(), nowNanos);
     }
@@ -86,6 +87,7 @@
    * fixed interval, about once a second.
    */
   public synchronized LimitReport rebalance(long nowNanos) {
+    rebalancedNanos = nowNanos;
     Map<String, LimitReport.AccountUsage> accounts = new TreeMap<>();
     usages.forEach(
         (account, usage) -> {
@@ -103,8 +105,11 @@
     return new LimitReport(self, ++sequence, members.epoch, accounts);
   }
 
-  /** Takes up a peer's report; one of another set of members or an older one is ignored. */
-  public synchronized void merge(LimitReport report, long nowNanos) {
+  /**
+   * Takes up a peer's report; one of another set of members or an older one is ignored. The report
+   * counts as heard at the time of the last {@link #rebalance}.
+   */
+  public synchronized void merge(LimitReport report) {
     if (report.epoch() != members.epoch
         || report.origin().equals(self)
         || sequences.getOrDefault(report.origin(), 0L) >= report.sequence()) {
@@ -115,9 +120,9 @@
         .accounts()
         .forEach(
             (account, accountUsage) -> {
-              Usage usage = usages.computeIfAbsent(account, name -> new Usage(nowNanos));
+              Usage usage = usages.computeIfAbsent(account, name -> new Usage());
               synchronized (usage) {
-                usage.ledger(self, members).merge(report.origin(), accountUsage, nowNanos);
+                usage.ledger(self, members).merge(report.origin(), accountUsage, rebalancedNanos);
                 usage.limit = usage.limit > 0 ? usage.limit : accountUsage.limit();
               }
             });
@@ -125,7 +130,7 @@
 
   /** Returns the part of the account's limits that this host applies, from 0 to 1. */
   public double share(String account) {
-    Usage usage = usages.computeIfAbsent(account, name -> new Usage(0));
+    Usage usage = usages.computeIfAbsent(account, name -> new Usage());
     synchronized (usage) {
       return usage.ledger(self, members).own();
     }
@@ -154,6 +159,7 @@
     private double limit;
     private double demand;
     private long demandNanos;
+    private boolean started;
 
     /**
      * Ledgers by set of members. Earlier ones are kept, because a host that was dropped and comes
@@ -167,16 +173,21 @@
           }
         };
 
-    private Usage(long nowNanos) {
-      refilledNanos = nowNanos;
-      demandNanos = nowNanos;
-    }
-
     private ShareLedger ledger(Incarnation self, Members members) {
       return ledgers.computeIfAbsent(members.epoch, epoch -> new ShareLedger(self, members.base));
     }
 
+    /** Sets the times at the first use, because a monotonic clock may start below zero. */
+    private void start(long nowNanos) {
+      if (!started) {
+        started = true;
+        refilledNanos = nowNanos;
+        demandNanos = nowNanos;
+      }
+    }
+
     private double demand(long nowNanos) {
+      start(nowNanos);
       long elapsed = Math.max(0, nowNanos - demandNanos);
       demand *= Math.exp(-elapsed / DEMAND_NANOS);
       demandNanos = Math.max(demandNanos, nowNanos);
--- a/core/src/main/java/org/clementinequay/core/limit/LimitReport.java
+++ b/core/src/main/java/org/clementinequay/core/limit/LimitReport.java
@@ -34,5 +34,10 @@
     public AccountUsage {
       granted = Map.copyOf(granted);
     }
+
+    /** Makes the usage of an account whose limit the origin does not know. */
+    public AccountUsage(double demand, double share, Map<Incarnation, Double> granted) {
+      this(demand, 0, share, granted);
+    }
   }
 }
--- a/core/src/test/java/org/clementinequay/core/limit/AccountLimiterTest.java
+++ b/core/src/test/java/org/clementinequay/core/limit/AccountLimiterTest.java
@@ -41,6 +41,16 @@
       assertTrue(limiter.tryAcquire("x", limits, refused.retryAfter().toNanos()).admitted());
     }
 
+    // Guards against a bucket that never refills on a monotonic clock that starts below zero.
+    @Test
+    public void negativeClockRefills() {
+      AccountLimiter limiter = new AccountLimiter(A);
+      AccountLimits limits = new AccountLimits(4, 1, 1000);
+      assertEquals(limiter.share("x"), 1.0);
+      assertTrue(limiter.tryAcquire("x", limits, -100 * SECOND).admitted());
+      assertTrue(limiter.tryAcquire("x", limits, -99 * SECOND).admitted());
+    }
+
     // Guards against a leak of concurrency permits.
     @Test
     public void releaseMakesRoom() {
@@ -74,10 +84,10 @@
         long now = (t + 1) * SECOND;
         LimitReport a = pair[0].rebalance(now);
         LimitReport b = pair[1].rebalance(now);
-        pair[1].merge(a, now);
+        pair[1].merge(a);
         if (!loseEveryOther || t % 2 == 0) {
-          pair[0].merge(b, now);
-          pair[0].merge(b, now);
+          pair[0].merge(b);
+          pair[0].merge(b);
         }
         assertTrue(pair[0].share("x") + pair[1].share("x") <= 1 + 1e-9);
       }
@@ -106,7 +116,7 @@
       run(pair, 20, false);
       LimitReport old = pair[1].rebalance(21 * SECOND);
       pair[0].membersChanged(Map.of(A, 1.0, B, 1.0, new Incarnation("c".repeat(32)), 2.0));
-      pair[0].merge(old, 21 * SECOND);
+      pair[0].merge(old);
       assertEquals(pair[0].share("x"), 0.25, 1e-9);
     }
 
