Rate every answer of a version being rolled out; let new peers start warm

Change: the sampler is passed over for versions being rolled out; a new link gets the pass rates of all known origins.

--- a/server/src/main/java/org/clementinequay/server/entry/PolicyExchange.java
+++ b/server/src/main/java/org/clementinequay/server/entry/PolicyExchange.java
@@ -99,12 +99,25 @@
     }
   }
 
+  /** A new peer starts warm: it gets what this host knows of all others. */
+  @Override
+  public void linked(PeerNetwork.Peer peer) {
+    try {
+      for (RateReport report : path.rates.relay(clock.nanoTime())) {
+        network.send(
+            peer.incarnation(), new PeerMessage.Counters(RATES, json.writeValueAsString(report)));
+      }
+    } catch (JsonProcessingException e) {
+      logger.atSevere().withCause(e).log("pass rates cannot be sent to %s", peer.host());
+    }
+  }
+
   private void merge(PeerNetwork.Peer from, PeerMessage.Counters counters)
       throws JsonProcessingException {
     long now = clock.nanoTime();
     switch (counters.kind()) {
       case RATES -> path.rates.merge(json.readValue(counters.json(), RateReport.class), now);
-      case LIMITS -> path.limiter.merge(json.readValue(counters.json(), LimitReport.class), now);
+      case LIMITS -> path.limiter.merge(json.readValue(counters.json(), LimitReport.class));
       case EVIDENCE ->
           evidence.merge(
               from.incarnation(),
--- a/server/src/main/java/org/clementinequay/server/pipeline/CascadeLearning.java
+++ b/server/src/main/java/org/clementinequay/server/pipeline/CascadeLearning.java
@@ -14,6 +14,7 @@
 import org.clementinequay.core.cascade.RatingSampler;
 import org.clementinequay.core.config.ObjectiveWeights;
 import org.clementinequay.core.config.VersionSpec;
+import org.clementinequay.core.config.VersionState;
 import org.clementinequay.core.time.RuntimeClock;
 
 /** Connects requests to what is learned of versions: plans, ratings of drafts, sampled ratings. */
@@ -103,10 +104,20 @@
     observer.ended(version, true);
   }
 
-  /** Decides whether the answer of this request is rated after its release. */
-  boolean sampled(Exchange exchange) {
-    return sampler.sample(
-        exchange.account().name(), exchange.className(), draw(), clock.nanoTime());
+  /**
+   * Decides whether the answer of this request is rated after its release. Every answer of a
+   * version that is being rolled out is: with a sample of them no stage would end within hours.
+   */
+  boolean sampled(Exchange exchange, ConfigurationSource configuration) {
+    boolean rollingOut =
+        configuration.current().stream()
+            .flatMap(
+                c ->
+                    exchange.plan.stream().flatMap(s -> c.document().version(s.version()).stream()))
+            .anyMatch(spec -> spec.state() == VersionState.ROLLING_OUT);
+    return rollingOut
+        || sampler.sample(
+            exchange.account().name(), exchange.className(), draw(), clock.nanoTime());
   }
 
   /** Has a released answer rated, without delay for the caller. */
--- a/server/src/main/java/org/clementinequay/server/pipeline/ChatRun.java
+++ b/server/src/main/java/org/clementinequay/server/pipeline/ChatRun.java
@@ -57,7 +57,7 @@
     ObjectNode chat = exchange.request().chat();
     this.expectedTokens = chat.path("max_tokens").asInt(DEFAULT_COMPLETION_TOKENS);
     this.promptTokens = exchange.request().body().length / CHARS_PER_TOKEN;
-    this.sampled = dispatcher.learning.sampled(exchange);
+    this.sampled = dispatcher.learning.sampled(exchange, dispatcher.configuration);
   }
 
   void start() {
