--- a/core/src/main/java/org/clementinequay/core/claim/ClaimService.java
+++ b/core/src/main/java/org/clementinequay/core/claim/ClaimService.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.ConcurrentMap;
+import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.atomic.AtomicLong;
 import org.clementinequay.core.Incarnation;
 import org.clementinequay.core.RefusalReason;
@@ -56,7 +57,10 @@
   private final Incarnation self;
   private final AtomicLong lastNumber = new AtomicLong();
   private final ConcurrentMap<ClaimToken, ClaimAttempt> tokens = new ConcurrentHashMap<>();
-  private final Queue<ClaimAttempt> unrecorded = new ConcurrentLinkedQueue<>();
+
+  // Its size is asked for in every turn of the writer, which a linked queue without a counter would
+  // answer by walking through it.
+  private final Queue<ClaimAttempt> unrecorded = new LinkedBlockingQueue<>();
   private final Queue<ClaimAttempt> abandoned = new ConcurrentLinkedQueue<>();
   private final Queue<ClaimAttempt> settling = new ConcurrentLinkedQueue<>();
 
@@ -81,7 +85,7 @@
    * if it is abandoned in the meantime.
    */
   public ClaimAttempt open(ClaimRequest request) {
-    ClaimToken token = new ClaimToken(self, lastNumber.incrementAndGet());
+    ClaimToken token = nextToken();
     ClaimAttempt attempt = new ClaimAttempt(request, token, clock.now());
     if (tokens.size() >= MAX_TOKENS) {
       attempt.abandon();
@@ -91,6 +95,11 @@
     return attempt;
   }
 
+  /** Returns a token that no other attempt of this process has. */
+  ClaimToken nextToken() {
+    return new ClaimToken(self, lastNumber.incrementAndGet());
+  }
+
   /** Claims a batch and blocks until every claim is decided. */
   public List<ClaimResult> claim(List<ClaimRequest> requests) throws InterruptedException {
     List<ClaimAttempt> attempts = requests.stream().map(this::open).toList();
@@ -222,8 +231,20 @@
       attempt.decide(
           own.flatMap(ClaimAttempt::answer)
               .<ClaimResult>map(ClaimResult.Completed::new)
-              .orElse(stored));
+              .orElseGet(() -> withBody(stored)));
+    }
+  }
+
+  /** Reads a large answer from the object store; it stays without its body if that fails. */
+  private ClaimResult withBody(ClaimResult result) {
+    if (result instanceof ClaimResult.Completed completed) {
+      try {
+        return new ClaimResult.Completed(store.load(completed.answer()));
+      } catch (PlatformException e) {
+        return result;
+      }
     }
+    return result;
   }
 
   /**
@@ -279,12 +300,13 @@
       if (!ready.isEmpty()) {
         store.complete(rows, ready.stream().map(attempt -> attempt.request().key()).toList());
         ready.forEach(attempt -> tokens.remove(attempt.token()));
+        ready.forEach(ClaimAttempt::markRecorded);
       }
       if (offloadFailure != null) {
         throw offloadFailure;
       }
     } finally {
-      batch.stream().filter(this::remembered).forEach(unrecorded::add);
+      batch.stream().filter(attempt -> !attempt.recorded()).forEach(unrecorded::add);
     }
   }
 
@@ -335,6 +357,22 @@
     return tokens.containsKey(attempt.token());
   }
 
+  /**
+   * Reads what is recorded for a key without claiming it.
+   *
+   * @throws PlatformException if the row could not be read
+   */
+  public Optional<ClaimResult> lookUp(ClaimRequest request) throws PlatformException {
+    return store
+        .read(request.key())
+        .flatMap(ClaimRow::readable)
+        .map(
+            content ->
+                content.bodyHash().equals(request.bodyHash())
+                    ? withBody(content.state().answerToRepeat(content))
+                    : new ClaimResult.Refused(RefusalReason.IDEMPOTENCY_KEY_REUSED));
+  }
+
   /**
    * Reads the body of an answer that is in the object store.
    *
--- a/server/src/main/java/org/clementinequay/server/entry/PeerEvents.java
+++ b/server/src/main/java/org/clementinequay/server/entry/PeerEvents.java
@@ -1,10 +1,9 @@
 package org.clementinequay.server.entry;
 
 import com.google.common.flogger.FluentLogger;
-import java.util.HashMap;
-import java.util.Map;
-import org.clementinequay.core.Incarnation;
 import org.clementinequay.core.ModelVersion;
+import org.clementinequay.core.rollout.RolloutBrake;
+import org.clementinequay.server.control.RolloutEvidence;
 import org.clementinequay.server.peer.PeerMessage;
 import org.clementinequay.server.peer.PeerNetwork;
 
@@ -12,25 +11,15 @@
 final class PeerEvents implements PeerNetwork.Listener {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
-  private final PeerNetwork network;
   private final RequestPath path;
-  private final ConfigurationState configuration;
-  private final Incarnation self;
-  private final double weight;
+  private final RolloutBrake brake;
+  private final RolloutEvidence evidence;
   private final String domain;
 
-  PeerEvents(
-      PeerNetwork network,
-      RequestPath path,
-      ConfigurationState configuration,
-      Incarnation self,
-      double weight,
-      String domain) {
-    this.network = network;
+  PeerEvents(RequestPath path, RolloutBrake brake, RolloutEvidence evidence, String domain) {
     this.path = path;
-    this.configuration = configuration;
-    this.self = self;
-    this.weight = weight;
+    this.brake = brake;
+    this.evidence = evidence;
     this.domain = domain;
   }
 
@@ -51,7 +40,9 @@
 
   private void stop(PeerNetwork.Peer from, PeerMessage.VersionStopped stopped) {
     try {
-      if (configuration.stop(ModelVersion.parse(stopped.modelVersion()))) {
+      ModelVersion version = ModelVersion.parse(stopped.modelVersion());
+      if (!brake.isStopped(version)) {
+        brake.peerStopped(version, stopped.evidence());
         logger.atWarning().log(
             "peer %s stopped version %s: %s",
             from.host(), stopped.modelVersion(), stopped.evidence());
@@ -61,21 +52,9 @@
     }
   }
 
-  @Override
-  public void linked(PeerNetwork.Peer peer) {
-    updateMembers();
-  }
-
   @Override
   public void unlinked(PeerNetwork.Peer peer) {
     path.tracker.peerGone(peer.incarnation());
-    updateMembers();
-  }
-
-  private void updateMembers() {
-    Map<Incarnation, Double> weights = new HashMap<>();
-    weights.put(self, weight);
-    network.peers().forEach(peer -> weights.put(peer.incarnation(), peer.weight()));
-    path.limiter.membersChanged(weights);
+    evidence.peerGone(peer.incarnation());
   }
 }
--- a/server/src/main/java/org/clementinequay/server/pipeline/ChatAttempt.java
+++ b/server/src/main/java/org/clementinequay/server/pipeline/ChatAttempt.java
@@ -10,6 +10,7 @@
 import org.clementinequay.core.config.Upstream;
 import org.clementinequay.core.dispatch.CorruptStreamException;
 import org.clementinequay.core.dispatch.EventStreamReader;
+import org.clementinequay.core.time.RuntimeClock;
 import org.clementinequay.server.upstream.UpstreamListener;
 import org.clementinequay.server.upstream.UpstreamTransport;
 import org.eclipse.jetty.util.Callback;
@@ -41,12 +42,15 @@
   final AttemptId id;
   final Upstream upstream;
   private final Owner owner;
+  private final RuntimeClock clock;
   private final boolean collects;
+  private final boolean passes;
   private final EventStreamReader reader;
   private final StringBuilder text = new StringBuilder();
   private final Output output = new Output();
   private UpstreamTransport.Call call;
   private int status;
+  private long firstEventNanos;
   private boolean foreignAnswer;
   private boolean offered = true;
   private long promptTokens;
@@ -54,11 +58,26 @@
   private String finishReason = "stop";
   private IOException malformed;
 
-  ChatAttempt(AttemptId id, Upstream upstream, Owner owner, boolean collects, long firstSequence) {
+  /**
+   * Creates an attempt.
+   *
+   * @param collects whether the text is kept
+   * @param passes whether the events go to the owner as they come
+   */
+  ChatAttempt(
+      AttemptId id,
+      Upstream upstream,
+      Owner owner,
+      RuntimeClock clock,
+      boolean collects,
+      boolean passes,
+      long firstSequence) {
     this.id = id;
     this.upstream = upstream;
     this.owner = owner;
+    this.clock = clock;
     this.collects = collects;
+    this.passes = passes;
     this.reader = new EventStreamReader(id, firstSequence);
   }
 
@@ -88,6 +107,9 @@
       next.succeeded();
       return;
     }
+    if (firstEventNanos == 0) {
+      firstEventNanos = clock.nanoTime();
+    }
     try {
       reader.feed(bytes, this::event);
     } catch (CorruptStreamException e) {
@@ -107,7 +129,7 @@
     if (indexOf(bytes, offset, length, USAGE_KEY) >= 0 || collects) {
       parse(bytes, offset, length);
     }
-    if (!collects) {
+    if (passes) {
       output.write(DATA_FIELD, 0, DATA_FIELD.length);
       output.write(bytes, offset, length);
       output.write(EVENT_END, 0, EVENT_END.length);
@@ -164,6 +186,10 @@
     return reader.nextSequence();
   }
 
+  long firstEventNanos() {
+    return firstEventNanos;
+  }
+
   String text() {
     return text.toString();
   }
--- a/server/src/main/java/org/clementinequay/server/pipeline/Dispatcher.java
+++ b/server/src/main/java/org/clementinequay/server/pipeline/Dispatcher.java
@@ -5,9 +5,13 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
+import org.clementinequay.core.RefusalReason;
+import org.clementinequay.core.RequestFailedException;
 import org.clementinequay.core.config.Upstream;
 import org.clementinequay.core.dispatch.RetryBudget;
 import org.clementinequay.core.dispatch.UpstreamTable;
+import org.clementinequay.core.limit.Admission;
+import org.clementinequay.core.limit.LoadShedder;
 import org.clementinequay.core.placement.Placement;
 import org.clementinequay.core.placement.PlacementPolicy;
 import org.clementinequay.core.placement.PlacementRequest;
@@ -25,8 +29,10 @@
   final RetryBudget retries;
   final UpstreamTransport client;
   final RatingQueue ratings;
+  final CascadeLearning learning;
   final UpstreamEvents events;
   private final PlacementPolicy placement;
+  private final LoadShedder shedder = new LoadShedder();
 
   /** Told when this host learns something of an upstream that its peers should know. */
   public interface UpstreamEvents {
@@ -42,6 +48,7 @@
     this.retries = new RetryBudget();
     this.client = Objects.requireNonNull(builder.client);
     this.ratings = Objects.requireNonNull(builder.ratings);
+    this.learning = Objects.requireNonNull(builder.learning);
     this.events = Objects.requireNonNull(builder.events);
     this.placement = Objects.requireNonNull(builder.placement);
   }
@@ -51,9 +58,14 @@
     return new Builder();
   }
 
-  /** Chooses an upstream for an attempt and counts it as started there. */
+  /**
+   * Chooses an upstream for an attempt and counts it as started there.
+   *
+   * @throws RequestFailedException if the first attempt of a request would wait too long
+   */
   Optional<Upstream> place(
-      String work, Set<String> tried, PlacementRequest request, int expectedTokens) {
+      String work, Set<String> tried, PlacementRequest request, int expectedTokens)
+      throws RequestFailedException {
     List<Upstream> candidates = new ArrayList<>(available(work, tried));
     while (!candidates.isEmpty()) {
       List<UpstreamView> views = new ArrayList<>();
@@ -65,6 +77,9 @@
       if (chosen.isEmpty()) {
         return Optional.empty();
       }
+      if (tried.isEmpty()) {
+        shed(request, chosen.get());
+      }
       String name = chosen.get().upstream();
       Upstream upstream =
           candidates.stream().filter(u -> u.name().equals(name)).findFirst().orElseThrow();
@@ -77,6 +92,21 @@
     return Optional.empty();
   }
 
+  private void shed(PlacementRequest request, Placement chosen) throws RequestFailedException {
+    Admission admission =
+        shedder.admit(
+            request.priority(),
+            request.remainingMillis(),
+            chosen.estimatedWaitMillis(),
+            request.nowNanos());
+    if (!admission.admitted()) {
+      throw RequestFailedException.notRun(
+          RefusalReason.OVERLOADED,
+          "upstreams are overloaded for this request class",
+          admission.retryAfter());
+    }
+  }
+
   private List<Upstream> available(String work, Set<String> tried) {
     return configuration.current().map(c -> c.upstreamsOf(work)).orElse(List.of()).stream()
         .filter(u -> !tried.contains(u.name()) && health.available(u.name()))
@@ -108,6 +138,7 @@
     private UpstreamTracker tracker;
     private UpstreamTransport client;
     private RatingQueue ratings;
+    private CascadeLearning learning;
     private UpstreamEvents events = upstream -> {};
     private PlacementPolicy placement;
 
@@ -149,6 +180,12 @@
       return this;
     }
 
+    /** Sets what is learned of versions. */
+    public Builder learning(CascadeLearning value) {
+      learning = value;
+      return this;
+    }
+
     /** Sets who is told of ejections. */
     public Builder events(UpstreamEvents value) {
       events = value;
