--- a/bench/src/main/java/org/clementinequay/bench/Main.java
+++ b/bench/src/main/java/org/clementinequay/bench/Main.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import org.clementinequay.bench.capacity.PeerSlopes;
 import org.clementinequay.bench.faults.FaultsBench;
+import org.clementinequay.bench.path.HoldStreams;
 import org.clementinequay.bench.path.PathBench;
 import org.clementinequay.bench.policy.PolicyBench;
 
@@ -19,6 +20,7 @@
     List<String> options = Arrays.asList(args).subList(Math.min(1, args.length), args.length);
     switch (name) {
       case "path" -> PathBench.run(options);
+      case "hold" -> HoldStreams.run(options);
       case "peers" -> PeerSlopes.run(options);
       case "faults" -> System.exit(FaultsBench.run(options));
       case "policy" -> System.exit(PolicyBench.run(options));
