--- a/bench/src/main/java/org/clementinequay/bench/Main.java
+++ b/bench/src/main/java/org/clementinequay/bench/Main.java
@@ -2,6 +2,7 @@
 
 import java.util.Arrays;
 import java.util.List;
+import org.clementinequay.bench.capacity.CapacitySlopes;
 import org.clementinequay.bench.capacity.PeerSlopes;
 import org.clementinequay.bench.faults.FaultsBench;
 import org.clementinequay.bench.path.HoldStreams;
@@ -22,10 +23,11 @@
       case "path" -> PathBench.run(options);
       case "hold" -> HoldStreams.run(options);
       case "peers" -> PeerSlopes.run(options);
+      case "capacity" -> CapacitySlopes.run(options);
       case "faults" -> System.exit(FaultsBench.run(options));
       case "policy" -> System.exit(PolicyBench.run(options));
       default -> {
-        System.err.println("usage: bench path|peers|faults|policy [options]");
+        System.err.println("usage: bench path|hold|peers|capacity|faults|policy [options]");
         System.exit(EXIT_USAGE);
       }
     }
