Test entry hosts in processes that are killed, frozen and stopped

Cause: kills, freezes and operators' races were shown in one JVM only. Change: hosts as processes over the tests' stand-ins: a call whose host died is unknown and never runs again, bills of a killed host are flushed by its peer, a frozen host takes up a withdrawal, one of two operators wins, SIGTERM cuts no stream and exits with 0.

--- a/bench/src/test/java/org/clementinequay/bench/path/Cluster.java
+++ b/bench/src/test/java/org/clementinequay/bench/path/Cluster.java
@@ -8,6 +8,7 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Base64;
 import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
@@ -38,7 +39,8 @@
   final EngineStandIn large2 = engine(LARGE);
   final ServiceStandIn service = new ServiceStandIn(0);
   final List<EntryHost> hosts = new ArrayList<>();
-  private final HttpClient http = HttpClient.newHttpClient();
+  final List<HostProcess> processes = new ArrayList<>();
+  final HttpClient http = HttpClient.newHttpClient();
   private long revision;
 
   private static EngineStandIn engine(String version) {
@@ -65,14 +67,32 @@
     return cluster;
   }
 
+  /** Starts stand-ins, and entry hosts in processes of their own, in two failure domains. */
+  static Cluster startProcesses(int hostCount) throws Exception {
+    Cluster cluster = start(0);
+    for (int i = 0; i < hostCount; i++) {
+      HostProcess host = new HostProcess("entry-" + i, i % 2 == 0 ? "pnw-a" : "pnw-b", cluster);
+      cluster.processes.add(host);
+      cluster.register(host.name, host.domain, host.peers);
+    }
+    for (HostProcess host : cluster.processes) {
+      host.awaitReady(cluster.http);
+    }
+    return cluster;
+  }
+
   private void register(EntryHost host) throws Exception {
+    register(host.name(), host.domain(), host.peerPort());
+  }
+
+  private void register(String name, String domain, int peerPort) throws Exception {
     String entry =
         String.format(
             Locale.ROOT,
             "{\"name\":\"%s\",\"role\":\"entry\",\"domain\":\"%s\",\"address\":\"127.0.0.1:%d\"}",
-            host.name(),
-            host.domain(),
-            host.peerPort());
+            name,
+            domain,
+            peerPort);
     http.send(
         HttpRequest.newBuilder(URI.create("http://" + platform.address() + "/hosts"))
             .POST(HttpRequest.BodyPublishers.ofString(entry))
@@ -169,15 +189,36 @@
     revision++;
   }
 
+  /** Calls the operators' interface of a host process. */
+  HttpResponse<String> operate(int host, String operator, String method, String path, String body)
+      throws Exception {
+    String login =
+        Base64.getEncoder()
+            .encodeToString((operator + ":quickstart").getBytes(StandardCharsets.UTF_8));
+    return http.send(
+        HttpRequest.newBuilder(
+                URI.create("http://127.0.0.1:" + processes.get(host).operators + path))
+            .header("Authorization", "Basic " + login)
+            .header("Content-Type", "application/json")
+            .timeout(Duration.ofSeconds(30))
+            .method(method, HttpRequest.BodyPublishers.ofString(body))
+            .build(),
+        HttpResponse.BodyHandlers.ofString());
+  }
+
+  int chatStatus(int host, String body) throws Exception {
+    return chat(host, body).statusCode();
+  }
+
   HttpResponse<String> chat(int host, String body) throws Exception {
     return post(host, "/v1/chat/completions", body, KEY);
   }
 
   HttpResponse<String> post(int host, String path, String body, String key, String... headers)
       throws Exception {
+    int port = processes.isEmpty() ? hosts.get(host).callerPort() : processes.get(host).callers;
     HttpRequest.Builder request =
-        HttpRequest.newBuilder(
-                URI.create("http://127.0.0.1:" + hosts.get(host).callerPort() + path))
+        HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + port + path))
             .header("Authorization", "Bearer " + key)
             .header("Content-Type", "application/json")
             .timeout(Duration.ofSeconds(30))
@@ -193,6 +234,9 @@
     for (EntryHost host : hosts) {
       host.close();
     }
+    for (HostProcess process : processes) {
+      process.close();
+    }
     platform.stop();
     rating.stop();
     small.stop();
