Name the entry hosts that have not confirmed a revision

Cause: a withdrawal is complete only when every entry host has it; heartbeats cannot tell, since a host links to a part of the others only. Ruled out: relaying confirmations through peers, which a cut would leave out silently. Change: each host confirms in a row of its own, status compares with the host list; claims past their retention are removed under a lease; a host refuses new requests while its bill records have no room.

--- a/bench/src/test/java/org/clementinequay/bench/path/ProcessFaultsTest.java
+++ b/bench/src/test/java/org/clementinequay/bench/path/ProcessFaultsTest.java
@@ -117,13 +117,15 @@
       cluster.close();
     }
 
-    /** Guards against a host that serves a withdrawn version after it was frozen meanwhile. */
+    /** Guards against a withdrawal that is shown as complete, or undone, by a frozen host. */
     @Test
     public void frozenHostTakesUpTheWithdrawal() throws Exception {
       cluster.processes.get(0).signal("STOP");
       cluster.publish(cluster.document("live", "withdrawn"));
       assertTrue(eventually(() -> cluster.chatStatus(1, chat(2)) == 503), "host 1 refuses");
+      assertTrue(eventually(() -> unconfirmed().equals("[\"entry-0\"]")), unconfirmed());
       cluster.processes.get(0).signal("CONT");
+      assertTrue(eventually(() -> unconfirmed().equals("[]")), unconfirmed());
       assertTrue(eventually(() -> cluster.chatStatus(0, chat(2)) == 503), "host 0 refuses");
       int ran = cluster.large.ran() + cluster.large2.ran();
       for (int i = 0; i < 5; i++) {
@@ -132,6 +134,11 @@
       assertEquals(cluster.large.ran() + cluster.large2.ran(), ran);
     }
 
+    private String unconfirmed() throws Exception {
+      String status = cluster.operate(1, "morning", "GET", "/api/status", "").body();
+      return JSON.readTree(status).path("unconfirmed").toString();
+    }
+
     /** Guards against a change of an operator that silently replaces another one's. */
     @Test
     public void oneOfTwoOperatorsAtNoonWins() throws Exception {
--- a/server/src/main/java/org/clementinequay/server/cli/StatusCommand.java
+++ b/server/src/main/java/org/clementinequay/server/cli/StatusCommand.java
@@ -54,6 +54,7 @@
     for (JsonNode version : body.path("stopped_versions")) {
       terminal.out().println("stopped by the brake: " + version.asText());
     }
+    printConfirmations(body, terminal);
     printPeers(body.path("peers"), terminal);
     printUpstreams(body.path("upstreams"), terminal);
     return ExitCode.DONE;
@@ -66,6 +67,17 @@
     return body.path("ready").booleanValue() ? "ready" : "not ready";
   }
 
+  private static void printConfirmations(JsonNode body, Terminal terminal) {
+    if (!body.path("confirmations_known").booleanValue()) {
+      terminal.out().println("not known which entry hosts confirmed: the platform does not answer");
+    } else if (body.path("unconfirmed").isEmpty()) {
+      terminal.out().println("confirmed by every listed entry host");
+    }
+    for (JsonNode host : body.path("unconfirmed")) {
+      terminal.out().println("not confirmed by " + host.asText());
+    }
+  }
+
   private static void printPeers(JsonNode peers, Terminal terminal) {
     TextTable table = new TextTable("PEER", "DOMAIN", "REVISION", "ROUND TRIP", "LEAVING");
     for (JsonNode peer : peers) {
--- a/server/src/main/java/org/clementinequay/server/entry/ControlParts.java
+++ b/server/src/main/java/org/clementinequay/server/entry/ControlParts.java
@@ -3,10 +3,12 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.clementinequay.core.Incarnation;
+import org.clementinequay.core.claim.ClaimService;
 import org.clementinequay.core.lease.LeaseStore;
 import org.clementinequay.core.spread.ConfigurationPublisher;
 import org.clementinequay.core.spread.RevisionKeeper;
 import org.clementinequay.core.time.RuntimeClock;
+import org.clementinequay.server.control.ClaimExpiryDuty;
 import org.clementinequay.server.control.DutyWorker;
 import org.clementinequay.server.control.HttpOrderPort;
 import org.clementinequay.server.control.LeasedDuty;
@@ -34,7 +36,8 @@
       DutyPreference preference,
       ConfigurationState configuration,
       RevisionKeeper keeper,
-      RolloutEvidence evidence) {
+      RolloutEvidence evidence,
+      ClaimService claims) {
     leases = new LeaseDuty(new LeaseStore(platform.table), self, preference::isPreferred, clock);
     add(
         new UpstreamOrdersDuty(
@@ -48,6 +51,7 @@
             evidence,
             clock),
         clock);
+    add(new ClaimExpiryDuty(claims, clock), clock);
   }
 
   private void add(LeasedDuty duty, RuntimeClock clock) {
--- a/server/src/main/java/org/clementinequay/server/entry/EntryHost.java
+++ b/server/src/main/java/org/clementinequay/server/entry/EntryHost.java
@@ -13,6 +13,7 @@
 import org.clementinequay.core.rollout.RolloutBrake;
 import org.clementinequay.core.spread.ConfigurationPublisher;
 import org.clementinequay.core.spread.ConfigurationReader;
+import org.clementinequay.core.spread.RevisionConfirmations;
 import org.clementinequay.core.spread.RevisionKeeper;
 import org.clementinequay.core.spread.RevisionRecord;
 import org.clementinequay.core.time.RuntimeClock;
@@ -64,6 +65,8 @@
   private final ControlParts control;
   private final PolicyExchange exchange;
   private final AccountMembers members;
+  private final RevisionConfirmations confirmations;
+  private final ConfirmationDuty confirmationDuty;
   private final RequestPath path;
   private final Server callers;
   private final Server operators;
@@ -124,7 +127,10 @@
             new DutyPreference(identity(), peers),
             configuration,
             keeper,
-            evidence);
+            evidence,
+            path.claimService);
+    this.confirmations = new RevisionConfirmations(platform.table, platform.directory);
+    this.confirmationDuty = new ConfirmationDuty(settings.name(), confirmations, keeper, clock);
     this.members =
         new AccountMembers(settings.name(), platform.directory, peers, path.limiter, clock);
     this.exchange = new PolicyExchange(peers, path, evidence, clock);
@@ -193,6 +199,7 @@
     billing.start();
     configurationDuty.start();
     control.start();
+    confirmationDuty.start();
     members.start();
     exchange.start();
     callers.start();
@@ -252,6 +259,10 @@
     return configuration;
   }
 
+  RevisionConfirmations confirmations() {
+    return confirmations;
+  }
+
   RequestPath path() {
     return path;
   }
@@ -296,6 +307,7 @@
     }
     callers.stop();
     control.close();
+    confirmationDuty.close();
     members.close();
     exchange.close();
     configurationDuty.close();
--- a/server/src/main/java/org/clementinequay/server/entry/EntryView.java
+++ b/server/src/main/java/org/clementinequay/server/entry/EntryView.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import org.clementinequay.core.ModelVersion;
 import org.clementinequay.core.config.RevisionedConfiguration;
+import org.clementinequay.core.platform.PlatformException;
 import org.clementinequay.server.operator.HostStatus;
 import org.clementinequay.server.operator.HostView;
 
@@ -31,6 +32,7 @@
   @Override
   public HostStatus status() {
     long ageNanos = host.keeper().ageNanos(host.clock().nanoTime()).orElse(0L);
+    Optional<List<String>> unconfirmed = unconfirmed();
     return new HostStatus(
         host.settings().name(),
         host.incarnation().id(),
@@ -42,10 +44,20 @@
         ageNanos / NANOS_PER_MILLI,
         host.path().handler.openRequests(),
         host.configuration().stopped().stream().map(ModelVersion::toString).toList(),
+        unconfirmed.orElse(List.of()),
+        unconfirmed.isPresent(),
         peers(),
         upstreams());
   }
 
+  private Optional<List<String>> unconfirmed() {
+    try {
+      return Optional.of(host.confirmations().unconfirmed(host.keeper().revision()));
+    } catch (PlatformException e) {
+      return Optional.empty();
+    }
+  }
+
   private List<HostStatus.PeerLine> peers() {
     return host.peers().peers().stream()
         .map(
--- a/server/src/main/java/org/clementinequay/server/entry/RequestPath.java
+++ b/server/src/main/java/org/clementinequay/server/entry/RequestPath.java
@@ -47,6 +47,7 @@
   final UpstreamTracker tracker = new UpstreamTracker();
   final AccountLimiter limiter;
   final LearnedRates rates;
+  final ClaimService claimService;
   final CallerHandler handler;
   private final HttpClient http = HttpParts.client("upstream", CLIENT_THREADS);
   private final ClaimWriter claims;
@@ -72,11 +73,8 @@
     this.health = new UpstreamTable(clock);
     this.limiter = new AccountLimiter(AccountMembers.identity(settings.name()));
     this.ratings = new RatingQueue(platform.ratings, RATING_THREADS);
-    this.claims =
-        new ClaimWriter(
-            new ClaimService(platform.table, platform.objects, clock, incarnation),
-            clock,
-            ClaimWriter.Metrics.NONE);
+    this.claimService = new ClaimService(platform.table, platform.objects, clock, incarnation);
+    this.claims = new ClaimWriter(claimService, clock, ClaimWriter.Metrics.NONE);
     this.rates = new LearnedRates(incarnation);
     this.learning = new CascadeLearning(rates, ratings, random.split(), clock, observer);
     SessionTokens tokens = new SessionTokens(sessionKeys(settings));
@@ -85,7 +83,7 @@
     Pipeline pipeline =
         new Pipeline(
             List.of(
-                new AdmitFilter(configuration, limiter, clock),
+                new AdmitFilter(configuration, limiter, billing.ledger, clock),
                 new SessionFilter(tokens, configuration, clock),
                 new ClaimFilter(claims, clock),
                 new PlanFilter(configuration, random.split(), learning),
--- a/server/src/main/java/org/clementinequay/server/operator/HostStatus.java
+++ b/server/src/main/java/org/clementinequay/server/operator/HostStatus.java
@@ -15,6 +15,8 @@
  * @param configurationAgeMillis time since the revision was last confirmed, in milliseconds
  * @param openRequests requests in progress
  * @param stoppedVersions versions, as {@code model@version}, that the brake stopped on this host
+ * @param unconfirmed listed entry hosts that have not confirmed the revision in force here
+ * @param confirmationsKnown whether the confirmations and the host list could be read
  * @param peers other entry hosts that it is linked with
  * @param upstreams upstreams of the configuration
  */
@@ -29,11 +31,14 @@
     long configurationAgeMillis,
     long openRequests,
     List<String> stoppedVersions,
+    List<String> unconfirmed,
+    boolean confirmationsKnown,
     List<PeerLine> peers,
     List<UpstreamLine> upstreams) {
   /** Copies the lists. */
   public HostStatus {
     stoppedVersions = List.copyOf(stoppedVersions);
+    unconfirmed = List.copyOf(unconfirmed);
     peers = List.copyOf(peers);
     upstreams = List.copyOf(upstreams);
   }
--- a/server/src/main/java/org/clementinequay/server/pipeline/AdmitFilter.java
+++ b/server/src/main/java/org/clementinequay/server/pipeline/AdmitFilter.java
@@ -4,6 +4,7 @@
 import java.util.Comparator;
 import org.clementinequay.core.RefusalReason;
 import org.clementinequay.core.RequestFailedException;
+import org.clementinequay.core.billing.BillLedger;
 import org.clementinequay.core.config.AccessPolicy;
 import org.clementinequay.core.config.ClientAccount;
 import org.clementinequay.core.config.RequestClass;
@@ -14,17 +15,23 @@
 
 /** Authenticates the caller, checks what its account may use, and applies the account's limits. */
 public final class AdmitFilter implements Filter {
+  private static final Duration STORE_RETRY = Duration.ofSeconds(10);
   private static final long NANOS_PER_MILLI = 1_000_000;
 
   private final ConfigurationSource configuration;
   private final AccountLimiter limiter;
+  private final BillLedger ledger;
   private final RuntimeClock clock;
 
   /** Creates the stage. */
   public AdmitFilter(
-      ConfigurationSource configuration, AccountLimiter limiter, RuntimeClock clock) {
+      ConfigurationSource configuration,
+      AccountLimiter limiter,
+      BillLedger ledger,
+      RuntimeClock clock) {
     this.configuration = configuration;
     this.limiter = limiter;
+    this.ledger = ledger;
     this.clock = clock;
   }
 
@@ -45,6 +52,7 @@
         exchange.request().deadlineMillis().orElse(exchange.requestClass.deadlineMillis());
     exchange.deadlineNanos = exchange.receivedNanos() + deadlineMillis * NANOS_PER_MILLI;
     authorise(active, account, exchange);
+    requireRoomForBill();
     limit(account, exchange);
     next.proceed();
   }
@@ -89,6 +97,14 @@
     }
   }
 
+  /** Work whose bill could not be kept must not start. */
+  private void requireRoomForBill() throws RequestFailedException {
+    if (!ledger.hasRoom()) {
+      throw RequestFailedException.notRun(
+          RefusalReason.OVERLOADED, "too many bill records wait for the store", STORE_RETRY);
+    }
+  }
+
   private void limit(ClientAccount account, Exchange exchange) throws RequestFailedException {
     Admission admission = limiter.tryAcquire(account.name(), account.limits(), clock.nanoTime());
     if (!admission.admitted()) {
--- a/server/src/test/java/org/clementinequay/server/operator/OperatorServer.java
+++ b/server/src/test/java/org/clementinequay/server/operator/OperatorServer.java
@@ -175,6 +175,8 @@
           12,
           3,
           List.of(),
+          List.of("entry-9"),
+          true,
           List.of(new HostStatus.PeerLine("entry-2", "b", 1, 350, false)),
           List.of(new HostStatus.UpstreamLine("e1", "healthy", 2)));
     }
