--- a/bench/src/test/java/org/clementinequay/bench/path/WholePathTest.java
+++ b/bench/src/test/java/org/clementinequay/bench/path/WholePathTest.java
@@ -143,6 +143,39 @@
       }
     }
 
+    /** Guards against new work on an upstream that has said that it leaves. */
+    @Test
+    public void sendsNoNewWorkToALeavingUpstream() throws Exception {
+      cluster.large2.leave();
+      int elsewhere = 0;
+      for (int i = 0; i < 400 && elsewhere < 20; i++) {
+        int before = cluster.large2.ran();
+        assertEquals(cluster.chat(0, body("label-large", 2, false)).statusCode(), 200);
+        elsewhere = cluster.large2.ran() == before ? elsewhere + 1 : 0;
+        Thread.sleep(20);
+      }
+      assertEquals(elsewhere, 20, "requests in a row on the other upstream");
+    }
+
+    /** Guards against an idempotent call that stops while the platform hangs. */
+    @Test
+    public void servesWhileThePlatformHangs() throws Exception {
+      cluster.platform.fault("hang", Integer.MAX_VALUE);
+      for (int i = 0; i < 5; i++) {
+        HttpResponse<String> lookup =
+            cluster.post(0, "/v1/routes/lot-lookup", "{\"lot\":" + i + "}", Cluster.KEY);
+        assertEquals(lookup.statusCode(), 200, lookup.body());
+        assertEquals(cluster.chat(0, body("label-large", 2, true)).statusCode(), 200);
+      }
+      HttpResponse<String> keyed =
+          cluster.post(
+              0, "/v1/routes/order-stamp", "{\"n\":1}", Cluster.KEY, "Idempotency-Key", "h1");
+      assertEquals(keyed.statusCode(), 503, keyed.body());
+      assertEquals(keyed.headers().firstValue("X-Outcome").orElse(""), "not-run");
+      assertEquals(cluster.service.runs().get("{\"n\":1}"), null);
+      cluster.platform.fault("none", 0);
+    }
+
     /** Guards against a second run of a call that must not be repeated. */
     @Test
     public void doesNotRepeatANonIdempotentCall() throws Exception {
