Guard answers that take longer than the idle timeout of callers

Cause: reading the path raised the suspicion that a caller that waits longer than the connection's idle timeout loses its answer. Ruled out by the new test: an answer of 2.5 s arrives whole with an idle timeout of 1 s. Change: the idle timeout of callers is a setting, the test lowers it; the parts of the host take one context in place of five parameters.

--- a/bench/src/test/java/org/clementinequay/bench/path/Cluster.java
+++ b/bench/src/test/java/org/clementinequay/bench/path/Cluster.java
@@ -122,7 +122,7 @@
         List.of(),
         Optional.empty(),
         10,
-        new Settings.Timeouts(2000, 2000));
+        new Settings.Timeouts(2000, 2000, 1000));
   }
 
   /** Returns the sample document with the given states of the two versions. */
--- a/bench/src/test/java/org/clementinequay/bench/path/WholePathTest.java
+++ b/bench/src/test/java/org/clementinequay/bench/path/WholePathTest.java
@@ -54,6 +54,14 @@
       assertEquals(response.headers().firstValue("X-Model-Version").orElse(""), Cluster.LARGE);
     }
 
+    /** Guards against an answer that is cut because the caller is silent while it waits for it. */
+    @Test
+    public void waitsLongerThanTheIdleTimeoutForAnAnswer() throws Exception {
+      HttpResponse<String> response = cluster.chat(0, body("label-large", 2500, false));
+      assertEquals(response.statusCode(), 200, response.body());
+      assertTrue(response.body().contains("w2499 "));
+    }
+
     /** Guards against a draft that is released before it was accepted, or a lost last step. */
     @Test
     public void cascadeFallsThroughToTheDearModel() throws Exception {
--- a/server/src/main/java/org/clementinequay/server/entry/BillingParts.java
+++ b/server/src/main/java/org/clementinequay/server/entry/BillingParts.java
@@ -4,14 +4,11 @@
 import org.clementinequay.core.billing.BillLedger;
 import org.clementinequay.core.billing.BillStore;
 import org.clementinequay.core.billing.HeldCopies;
-import org.clementinequay.core.time.RuntimeClock;
 import org.clementinequay.server.billing.BillHolder;
 import org.clementinequay.server.billing.BillReplicator;
 import org.clementinequay.server.billing.BillSealer;
 import org.clementinequay.server.billing.BillingMetrics;
 import org.clementinequay.server.billing.HolderChoice;
-import org.clementinequay.server.peer.PeerNetwork;
-import org.clementinequay.server.settings.Settings;
 
 /** The billing of this host: its own records, the copies it holds for others, and their sealing. */
 final class BillingParts implements AutoCloseable {
@@ -19,25 +16,22 @@
   final BillReplicator replicator;
   private final BillSealer sealer;
 
-  BillingParts(
-      Settings settings,
-      Incarnation self,
-      RuntimeClock clock,
-      PlatformClients platform,
-      PeerNetwork peers,
-      BillingMetrics metrics) {
+  BillingParts(HostContext host, BillingMetrics metrics) {
+    Incarnation self = host.incarnation();
+    PlatformClients platform = host.platform();
     ledger = new BillLedger(self);
-    HolderChoice choice = new HolderChoice(self, settings.domain(), settings.region());
-    replicator = new BillReplicator(ledger, peers, choice, clock, metrics);
+    HolderChoice choice =
+        new HolderChoice(self, host.settings().domain(), host.settings().region());
+    replicator = new BillReplicator(ledger, host.peers(), choice, host.clock(), metrics);
     HeldCopies copies = new HeldCopies(self);
     sealer =
         BillSealer.builder()
             .ledger(ledger)
             .copies(copies)
-            .holder(new BillHolder(copies, peers, clock))
+            .holder(new BillHolder(copies, host.peers(), host.clock()))
             .store(new BillStore(platform.table, platform.objects))
             .replicator(replicator)
-            .clock(clock)
+            .clock(host.clock())
             .metrics(metrics)
             .build();
   }
--- a/server/src/main/java/org/clementinequay/server/entry/ControlParts.java
+++ b/server/src/main/java/org/clementinequay/server/entry/ControlParts.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import org.clementinequay.core.Incarnation;
 import org.clementinequay.core.claim.ClaimService;
 import org.clementinequay.core.lease.LeaseStore;
 import org.clementinequay.core.spread.ConfigurationPublisher;
@@ -17,7 +16,6 @@
 import org.clementinequay.server.control.UpstreamOrdersDuty;
 import org.clementinequay.server.peer.DutyPreference;
 import org.clementinequay.server.peer.LeaseDuty;
-import org.clementinequay.server.settings.Settings;
 import org.eclipse.jetty.client.HttpClient;
 
 /** The control duties that one host at a time performs. */
@@ -29,19 +27,20 @@
   private final List<DutyWorker> workers = new ArrayList<>();
 
   ControlParts(
-      Settings settings,
-      Incarnation self,
-      RuntimeClock clock,
-      PlatformClients platform,
+      HostContext host,
       DutyPreference preference,
       ConfigurationState configuration,
       RevisionKeeper keeper,
       RolloutEvidence evidence,
       ClaimService claims) {
-    leases = new LeaseDuty(new LeaseStore(platform.table), self, preference::isPreferred, clock);
+    PlatformClients platform = host.platform();
+    RuntimeClock clock = host.clock();
+    leases =
+        new LeaseDuty(
+            new LeaseStore(platform.table), host.incarnation(), preference::isPreferred, clock);
     add(
         new UpstreamOrdersDuty(
-            settings.domain(), configuration::upstreams, new HttpOrderPort(http)),
+            host.settings().domain(), configuration::upstreams, new HttpOrderPort(http)),
         clock);
     add(
         new RolloutDuty(
--- a/server/src/main/java/org/clementinequay/server/entry/EntryHost.java
+++ b/server/src/main/java/org/clementinequay/server/entry/EntryHost.java
@@ -91,6 +91,7 @@
     this.settings = settings;
     this.platform = new PlatformClients(settings);
     this.peers = network();
+    HostContext host = new HostContext(settings, incarnation, clock, platform, peers);
     this.spread = new RevisionSpread(peers, EntryHost::parse, clock);
     this.keeper = spread.keeper();
     RolloutBrake brake = new RolloutBrake(ASSUMED_HOSTS);
@@ -104,26 +105,11 @@
             new ConfigurationReader(publisher, keeper, EntryHost::parse, spread::askPeers, clock),
             clock,
             random.split());
-    this.billing =
-        new BillingParts(settings, incarnation, clock, platform, peers, billingMetrics());
-    this.path =
-        new RequestPath(
-            settings,
-            incarnation,
-            clock,
-            random,
-            platform,
-            configuration,
-            peers,
-            billing,
-            evidence,
-            metrics);
+    this.billing = new BillingParts(host, billingMetrics());
+    this.path = new RequestPath(host, random, configuration, billing, evidence, metrics);
     this.control =
         new ControlParts(
-            settings,
-            incarnation,
-            clock,
-            platform,
+            host,
             new DutyPreference(identity(), peers),
             configuration,
             keeper,
@@ -135,14 +121,18 @@
         new AccountMembers(settings.name(), platform.directory, peers, path.limiter, clock);
     this.exchange = new PolicyExchange(peers, path, evidence, clock);
     peers.addListener(new PeerEvents(path, brake, evidence, settings.domain()));
-    this.callers =
-        HttpParts.server("caller", settings.listeners().callers(), CALLER_THREADS, path.handler);
+    this.callers = server("caller", settings.listeners().callers(), CALLER_THREADS, path.handler);
     this.operators =
-        HttpParts.server(
+        server(
             "operator", settings.listeners().operators(), OPERATOR_THREADS, operators(publisher));
     registerGauges();
   }
 
+  private Server server(String name, String address, int threads, Handler handler) {
+    Duration idle = Duration.ofMillis(settings.timeouts().callerIdleMillis());
+    return HttpParts.server(name, address, threads, idle, handler);
+  }
+
   private PeerIdentity identity() {
     return new PeerIdentity(
         incarnation, settings.name(), settings.domain(), settings.region(), settings.weight());
--- a/server/src/main/java/org/clementinequay/server/entry/HttpParts.java
+++ b/server/src/main/java/org/clementinequay/server/entry/HttpParts.java
@@ -14,9 +14,6 @@
 
 /** Builds Jetty servers and clients with the limits that this program needs. */
 final class HttpParts {
-  /** Time without a byte after which a caller's connection is closed. */
-  private static final Duration CALLER_IDLE = Duration.ofSeconds(30);
-
   private static final int MAX_HEADER_BYTES = 16 * 1024;
   private static final int OUTPUT_BUFFER_BYTES = 32 * 1024;
   private static final int ACCEPT_QUEUE = 1024;
@@ -29,7 +26,8 @@
 
   private HttpParts() {}
 
-  static Server server(String name, String address, int maxThreads, Handler handler) {
+  static Server server(
+      String name, String address, int maxThreads, Duration idleTimeout, Handler handler) {
     QueuedThreadPool threads = new QueuedThreadPool(maxThreads, Math.min(8, maxThreads));
     threads.setName(name);
     Server server = new Server(threads);
@@ -41,7 +39,7 @@
     InetSocketAddress socket = parse(address);
     connector.setHost(socket.getHostString());
     connector.setPort(socket.getPort());
-    connector.setIdleTimeout(CALLER_IDLE.toMillis());
+    connector.setIdleTimeout(idleTimeout.toMillis());
     connector.setAcceptQueueSize(ACCEPT_QUEUE);
     server.addConnector(connector);
     server.setHandler(handler);
--- a/server/src/main/java/org/clementinequay/server/entry/RequestPath.java
+++ b/server/src/main/java/org/clementinequay/server/entry/RequestPath.java
@@ -58,18 +58,17 @@
   private final PeerNetwork peers;
 
   RequestPath(
-      Settings settings,
-      Incarnation incarnation,
-      RuntimeClock clock,
+      HostContext host,
       SplittableRandom random,
-      PlatformClients platform,
       ConfigurationState configuration,
-      PeerNetwork peers,
       BillingParts billing,
       VersionObserver observer,
       RouterMetrics metrics) {
-    this.clock = clock;
-    this.peers = peers;
+    Settings settings = host.settings();
+    PlatformClients platform = host.platform();
+    Incarnation incarnation = host.incarnation();
+    this.clock = host.clock();
+    this.peers = host.peers();
     this.health = new UpstreamTable(clock);
     this.limiter = new AccountLimiter(AccountMembers.identity(settings.name()));
     this.ratings = new RatingQueue(platform.ratings, RATING_THREADS);
@@ -79,7 +78,7 @@
     this.learning = new CascadeLearning(rates, ratings, random.split(), clock, observer);
     SessionTokens tokens = new SessionTokens(sessionKeys(settings));
     ChatReply replies = new ChatReply(tokens, clock);
-    Dispatcher dispatcher = dispatcher(settings, random, configuration);
+    Dispatcher dispatcher = dispatcher(settings, configuration);
     Pipeline pipeline =
         new Pipeline(
             List.of(
@@ -101,8 +100,7 @@
     loadReports.setDaemon(true);
   }
 
-  private Dispatcher dispatcher(
-      Settings settings, SplittableRandom random, ConfigurationState configuration) {
+  private Dispatcher dispatcher(Settings settings, ConfigurationState configuration) {
     Duration progress = Duration.ofMillis(settings.timeouts().progressMillis());
     return Dispatcher.builder()
         .clock(clock)
--- a/server/src/main/java/org/clementinequay/server/settings/Settings.java
+++ b/server/src/main/java/org/clementinequay/server/settings/Settings.java
@@ -95,9 +95,10 @@
    *
    * @param platformMillis longest time for one call to the platform, in milliseconds
    * @param progressMillis longest silence of an upstream connection, in milliseconds
+   * @param callerIdleMillis longest silence of a caller that is to send or to read, in milliseconds
    */
-  public record Timeouts(int platformMillis, int progressMillis) {
+  public record Timeouts(int platformMillis, int progressMillis, int callerIdleMillis) {
     /** Used where the settings state none. */
-    public static final Timeouts DEFAULT = new Timeouts(2_000, 10_000);
+    public static final Timeouts DEFAULT = new Timeouts(2_000, 10_000, 30_000);
   }
 }
--- a/server/src/main/java/org/clementinequay/server/settings/SettingsParser.java
+++ b/server/src/main/java/org/clementinequay/server/settings/SettingsParser.java
@@ -33,6 +33,10 @@
               Settings.Timeouts.class, "platformMillis", Settings.Timeouts.DEFAULT.platformMillis())
           .optional(
               Settings.Timeouts.class, "progressMillis", Settings.Timeouts.DEFAULT.progressMillis())
+          .optional(
+              Settings.Timeouts.class,
+              "callerIdleMillis",
+              Settings.Timeouts.DEFAULT.callerIdleMillis())
           .build();
 
   private final Settings settings;
@@ -78,6 +82,7 @@
     Settings.Timeouts timeouts = settings.timeouts();
     checkRange("/timeouts/platformMillis", timeouts.platformMillis(), 1, MAX_TIMEOUT_MILLIS);
     checkRange("/timeouts/progressMillis", timeouts.progressMillis(), 1, MAX_TIMEOUT_MILLIS);
+    checkRange("/timeouts/callerIdleMillis", timeouts.callerIdleMillis(), 1, MAX_TIMEOUT_MILLIS);
   }
 
   private void checkListeners() {
--- a/server/src/test/java/org/clementinequay/server/settings/SettingsParserTest.java
+++ b/server/src/test/java/org/clementinequay/server/settings/SettingsParserTest.java
@@ -40,7 +40,7 @@
       Settings settings = parsed.settings().orElseThrow();
       assertEquals(settings.weight(), 1.0);
       assertEquals(settings.drainSeconds(), 30);
-      assertEquals(settings.timeouts(), new Settings.Timeouts(2_000, 10_000));
+      assertEquals(settings.timeouts(), new Settings.Timeouts(2_000, 10_000, 30_000));
       assertEquals(settings.tls(), Optional.empty());
     }
 
