Share the set-up of the path tests

Cause: six test classes repeated the same start and stop of their stand-ins. Change: a base class starts the hosts, in the JVM or as processes.

--- a/bench/src/test/java/org/clementinequay/bench/path/ProcessFaultsTest.java
+++ b/bench/src/test/java/org/clementinequay/bench/path/ProcessFaultsTest.java
@@ -14,8 +14,6 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
-import org.testng.annotations.AfterMethod;
-import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
 /** Entry hosts in processes of their own that are killed, frozen and stopped. */
@@ -44,17 +42,10 @@
   }
 
   /** Hosts that are killed. */
-  public static final class Kills {
-    private Cluster cluster;
-
-    @BeforeMethod
-    public void start() throws Exception {
-      cluster = Cluster.startProcesses(2);
-    }
-
-    @AfterMethod(alwaysRun = true)
-    public void stop() throws Exception {
-      cluster.close();
+  public static final class Kills extends WithCluster {
+    /** Starts 2 hosts for each test. */
+    public Kills() {
+      super(2, true);
     }
 
     /** Guards against a second run of a call whose host died after it had sent it. */
@@ -104,17 +95,10 @@
   }
 
   /** Hosts that are frozen, and operators that race. */
-  public static final class FreezesAndRaces {
-    private Cluster cluster;
-
-    @BeforeMethod
-    public void start() throws Exception {
-      cluster = Cluster.startProcesses(2);
-    }
-
-    @AfterMethod(alwaysRun = true)
-    public void stop() throws Exception {
-      cluster.close();
+  public static final class FreezesAndRaces extends WithCluster {
+    /** Starts 2 hosts for each test. */
+    public FreezesAndRaces() {
+      super(2, true);
     }
 
     /** Guards against a withdrawal that is shown as complete, or undone, by a frozen host. */
--- a/bench/src/test/java/org/clementinequay/bench/path/WholePathTest.java
+++ b/bench/src/test/java/org/clementinequay/bench/path/WholePathTest.java
@@ -7,8 +7,6 @@
 import java.net.http.HttpResponse;
 import java.util.Locale;
 import org.clementinequay.standins.EngineFault;
-import org.testng.annotations.AfterMethod;
-import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
 /** A request goes from a caller through an entry host to an upstream and back, over real TCP. */
@@ -28,17 +26,10 @@
   }
 
   /** Answers that are whole. */
-  public static final class Answers {
-    private Cluster cluster;
-
-    @BeforeMethod
-    public void start() throws Exception {
-      cluster = Cluster.start(1);
-    }
-
-    @AfterMethod(alwaysRun = true)
-    public void stop() throws Exception {
-      cluster.close();
+  public static final class Answers extends WithCluster {
+    /** Starts 1 host for each test. */
+    public Answers() {
+      super(1, false);
     }
 
     /** Guards against a stream that loses, doubles or reorders tokens on its way. */
@@ -104,17 +95,10 @@
   }
 
   /** Upstreams that fail. */
-  public static final class UpstreamFaults {
-    private Cluster cluster;
-
-    @BeforeMethod
-    public void start() throws Exception {
-      cluster = Cluster.start(1);
-    }
-
-    @AfterMethod(alwaysRun = true)
-    public void stop() throws Exception {
-      cluster.close();
+  public static final class UpstreamFaults extends WithCluster {
+    /** Starts 1 host for each test. */
+    public UpstreamFaults() {
+      super(1, false);
     }
 
     private void inject(EngineFault fault, int after) {
@@ -197,19 +181,13 @@
   }
 
   /** Calls that must not be repeated. */
-  public static final class IdempotencyKeys {
-    private static final String CRATE = "{\"crate\":41}";
-    private Cluster cluster;
-
-    @BeforeMethod
-    public void start() throws Exception {
-      cluster = Cluster.start(2);
+  public static final class IdempotencyKeys extends WithCluster {
+    /** Starts 2 hosts for each test. */
+    public IdempotencyKeys() {
+      super(2, false);
     }
 
-    @AfterMethod(alwaysRun = true)
-    public void stop() throws Exception {
-      cluster.close();
-    }
+    private static final String CRATE = "{\"crate\":41}";
 
     private HttpResponse<String> stamp(int host, String key, String crate) throws Exception {
       return cluster.post(
@@ -276,17 +254,10 @@
   }
 
   /** Sessions and withdrawals. */
-  public static final class Sessions {
-    private Cluster cluster;
-
-    @BeforeMethod
-    public void start() throws Exception {
-      cluster = Cluster.start(2);
-    }
-
-    @AfterMethod(alwaysRun = true)
-    public void stop() throws Exception {
-      cluster.close();
+  public static final class Sessions extends WithCluster {
+    /** Starts 2 hosts for each test. */
+    public Sessions() {
+      super(2, false);
     }
 
     private String inSession(String token) {
