--- /dev/null
+++ b/server/src/test/java/org/clementinequay/server/control/RolloutDutyTest.java
@@ -0,0 +1,156 @@
+package org.clementinequay.server.control;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.Optional;
+import org.clementinequay.core.Incarnation;
+import org.clementinequay.core.ModelVersion;
+import org.clementinequay.core.config.RevisionedConfiguration;
+import org.clementinequay.core.config.VersionSpec;
+import org.clementinequay.core.config.VersionState;
+import org.clementinequay.core.lease.LeaseCandidate;
+import org.clementinequay.core.lease.LeaseGuard;
+import org.clementinequay.core.lease.LeaseStore;
+import org.clementinequay.core.lease.LeaseTerms;
+import org.clementinequay.core.platform.PlatformException;
+import org.clementinequay.core.platform.RowKey;
+import org.clementinequay.core.platform.RowWrite;
+import org.clementinequay.core.platform.memory.CallHook;
+import org.clementinequay.core.platform.memory.InMemoryObjectStore;
+import org.clementinequay.core.platform.memory.InMemoryTableService;
+import org.clementinequay.core.rollout.RolloutBrake;
+import org.clementinequay.core.rollout.RolloutState;
+import org.clementinequay.core.rollout.VersionCounts;
+import org.clementinequay.core.spread.ConfigurationPublisher;
+import org.clementinequay.core.spread.RevisionRecord;
+import org.clementinequay.core.time.ManualClock;
+import org.clementinequay.server.document.DocumentParser;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Roll-outs that are begun, interrupted, and taken over by another holder of the lease. */
+public final class RolloutDutyTest {
+  private static final ModelVersion CANDIDATE = ModelVersion.parse("m@v2");
+  private static final ModelVersion LIVE = ModelVersion.parse("m@v1");
+  private static final String DOCUMENT =
+      """
+      {"domains": [], "classes": [], "cascades": [], "routes": [], "upstreams": [], "accounts": [],
+       // The comment stays.
+       "models": [{"name": "m", "versions": [
+         {"name": "v1", "state": "live", "promptMicrosPerToken": 1, "completionMicrosPerToken": 1},
+         {"name": "v2", "state": "rolling-out", "share": 0.3,
+          "promptMicrosPerToken": 1, "completionMicrosPerToken": 1}]}]}
+      """;
+
+  /** Steps of a holder. */
+  public static final class Steps {
+    private ManualClock clock;
+    private InMemoryTableService table;
+    private ConfigurationPublisher publisher;
+    private RolloutDuty duty;
+    private LeaseCandidate candidate;
+    private LeaseGuard guard;
+
+    @BeforeMethod
+    public void takeLease() throws Exception {
+      clock = new ManualClock(Instant.parse("2026-12-04T12:00:00Z"));
+      table = new InMemoryTableService(CallHook.NONE);
+      publisher = new ConfigurationPublisher(table, new InMemoryObjectStore(CallHook.NONE), clock);
+      publisher.publish(0, "first", "morning", DOCUMENT);
+      RolloutEvidence evidence = new RolloutEvidence(new RolloutBrake(9), (version, reason) -> {});
+      duty = new RolloutDuty(table, publisher, this::inForce, evidence, clock);
+      Incarnation self = new Incarnation("0123456789abcdef0123456789abcdef");
+      LeaseTerms terms = LeaseTerms.PRODUCTION;
+      candidate = new LeaseCandidate(new LeaseStore(table), duty.name(), self, terms, clock);
+      assertTrue(candidate.step(true));
+      guard = new LeaseGuard(duty.name(), candidate::lease, terms.orderMargin());
+    }
+
+    private Optional<RevisionedConfiguration> inForce() {
+      try {
+        RevisionRecord head = publisher.head().orElseThrow();
+        String text = publisher.document(head.hash()).orElseThrow();
+        return Optional.of(
+            new RevisionedConfiguration(
+                head.revision(),
+                head.hash(),
+                text,
+                DocumentParser.parseAccepted(text).orElseThrow()));
+      } catch (PlatformException e) {
+        throw new IllegalStateException(e);
+      }
+    }
+
+    private VersionSpec spec(ModelVersion version) {
+      return inForce().orElseThrow().configuration().version(version).orElseThrow();
+    }
+
+    private void storeRow(RolloutState.Status status, int stage) throws Exception {
+      RolloutState state =
+          new RolloutState(status, stage, 0, VersionCounts.NONE, VersionCounts.NONE);
+      RowKey key = new RowKey(RolloutDuty.TABLE, CANDIDATE.toString());
+      table.commit(List.of(RowWrite.insert(key, state.encode())));
+    }
+
+    /** Guards against a roll-out that starts with the share that an operator happened to write. */
+    @Test
+    public void beginsWithTheFirstStage() {
+      duty.work(guard);
+      assertEquals(spec(CANDIDATE).share(), 0.01);
+      assertTrue(inForce().orElseThrow().text().contains("// The comment stays."));
+      duty.work(guard);
+      assertEquals(inForce().orElseThrow().revision(), 2, "no revision without a change");
+    }
+
+    /** Guards against a stop that is forgotten because its holder died before the revision. */
+    @Test
+    public void finishesAStopOfAnEarlierHolder() throws Exception {
+      storeRow(RolloutState.Status.STOPPED, 1);
+      duty.work(guard);
+      assertEquals(spec(CANDIDATE).state(), VersionState.CLOSING);
+      duty.work(guard);
+      assertTrue(table.scan(RolloutDuty.TABLE, "", "", 10).isEmpty(), "row of an ended roll-out");
+    }
+
+    /** Guards against a completed roll-out that leaves two versions or none in full service. */
+    @Test
+    public void finishesACompletionOfAnEarlierHolder() throws Exception {
+      storeRow(RolloutState.Status.COMPLETED, 3);
+      duty.work(guard);
+      assertEquals(spec(CANDIDATE).state(), VersionState.LIVE);
+      assertEquals(spec(LIVE).state(), VersionState.CLOSING);
+    }
+
+    /** Guards against a paused holder that goes on after its lease has lapsed. */
+    @Test
+    public void doesNothingAfterTheLeaseLapsed() throws Exception {
+      storeRow(RolloutState.Status.STOPPED, 1);
+      clock.advance(Duration.ofSeconds(60));
+      duty.work(guard);
+      assertEquals(inForce().orElseThrow().revision(), 1);
+    }
+  }
+
+  /** The brake of one host. */
+  public static final class Brake {
+    /** Guards against a bad version that goes on taking new sessions until the holder acts. */
+    @Test
+    public void stopsABadVersionOnItsOwnEvidence() {
+      RolloutBrake brake = new RolloutBrake(9);
+      StringBuilder told = new StringBuilder();
+      RolloutEvidence evidence =
+          new RolloutEvidence(brake, (version, reason) -> told.append(version));
+      evidence.configured(DocumentParser.parseAccepted(DOCUMENT).orElseThrow());
+      for (int i = 0; i < 200 && !brake.isStopped(CANDIDATE); i++) {
+        evidence.rated(LIVE, true);
+        evidence.rated(CANDIDATE, false);
+      }
+      assertTrue(brake.isStopped(CANDIDATE));
+      assertEquals(told.toString(), CANDIDATE.toString(), "told once");
+    }
+  }
+}
