Measure gaps between tokens and what becomes of bill records

Cause: the histogram of gaps was registered and never filled, and the billing part reported to nobody. Change: the run tells each gap between two parts of a stream; counters and the time of the second copy.

--- a/server/src/main/java/org/clementinequay/server/entry/EntryHost.java
+++ b/server/src/main/java/org/clementinequay/server/entry/EntryHost.java
@@ -18,10 +18,10 @@
 import org.clementinequay.core.spread.RevisionRecord;
 import org.clementinequay.core.time.RuntimeClock;
 import org.clementinequay.core.time.SystemClock;
-import org.clementinequay.server.billing.BillingMetrics;
 import org.clementinequay.server.console.ConsoleHandler;
 import org.clementinequay.server.control.RolloutEvidence;
 import org.clementinequay.server.document.DocumentParser;
+import org.clementinequay.server.metrics.BillingCounters;
 import org.clementinequay.server.metrics.RouterMetrics;
 import org.clementinequay.server.operator.ConfigurationDesk;
 import org.clementinequay.server.operator.OperatorHandler;
@@ -105,7 +105,7 @@
             new ConfigurationReader(publisher, keeper, EntryHost::parse, spread::askPeers, clock),
             clock,
             random.split());
-    this.billing = new BillingParts(host, billingMetrics());
+    this.billing = new BillingParts(host, new BillingCounters(metrics));
     this.path = new RequestPath(host, random, configuration, billing, evidence, metrics);
     this.control =
         new ControlParts(
@@ -165,10 +165,6 @@
         () -> Runtime.getRuntime().totalMemory() - Runtime.getRuntime().freeMemory());
   }
 
-  private BillingMetrics billingMetrics() {
-    return new BillingMetrics() {};
-  }
-
   /** This host's brake stopped a version: the peers stop it too. */
   private void stopped(ModelVersion version, String evidence) {
     logger.atWarning().log("stopped version %s: %s", version, evidence);
--- a/server/src/main/java/org/clementinequay/server/entry/RequestPath.java
+++ b/server/src/main/java/org/clementinequay/server/entry/RequestPath.java
@@ -78,7 +78,7 @@
     this.learning = new CascadeLearning(rates, ratings, random.split(), clock, observer);
     SessionTokens tokens = new SessionTokens(sessionKeys(settings));
     ChatReply replies = new ChatReply(tokens, clock);
-    Dispatcher dispatcher = dispatcher(settings, configuration);
+    Dispatcher dispatcher = dispatcher(settings, configuration, metrics);
     Pipeline pipeline =
         new Pipeline(
             List.of(
@@ -100,7 +100,8 @@
     loadReports.setDaemon(true);
   }
 
-  private Dispatcher dispatcher(Settings settings, ConfigurationState configuration) {
+  private Dispatcher dispatcher(
+      Settings settings, ConfigurationState configuration, RouterMetrics metrics) {
     Duration progress = Duration.ofMillis(settings.timeouts().progressMillis());
     return Dispatcher.builder()
         .clock(clock)
@@ -110,6 +111,7 @@
         .client(new UpstreamClient(http, progress))
         .ratings(ratings)
         .learning(learning)
+        .gaps(metrics::gap)
         .events(upstream -> broadcast(upstream, UpstreamState.EJECTED))
         .placement(new EstimatedCompletionPolicy())
         .build();
--- /dev/null
+++ b/server/src/main/java/org/clementinequay/server/metrics/BillingCounters.java
@@ -0,0 +1,34 @@
+package org.clementinequay.server.metrics;
+
+import org.clementinequay.server.billing.BillingMetrics;
+
+/** Counts what becomes of bill records. */
+public final class BillingCounters implements BillingMetrics {
+  private final RouterMetrics metrics;
+
+  /** Creates counters in the metrics of a host. */
+  public BillingCounters(RouterMetrics metrics) {
+    this.metrics = metrics;
+  }
+
+  @Override
+  public void single(int records) {
+    metrics.count("clementinequay_bills_single_copy_total", records);
+  }
+
+  @Override
+  public void copied(int records, long nanos) {
+    metrics.count("clementinequay_bills_copied_total", records);
+    metrics.time("clementinequay_bill_copy_seconds", nanos);
+  }
+
+  @Override
+  public void sealed(int records) {
+    metrics.count("clementinequay_bills_sealed_total", records);
+  }
+
+  @Override
+  public void flushed(int records) {
+    metrics.count("clementinequay_bills_flushed_total", records);
+  }
+}
--- a/server/src/main/java/org/clementinequay/server/metrics/RouterMetrics.java
+++ b/server/src/main/java/org/clementinequay/server/metrics/RouterMetrics.java
@@ -31,11 +31,12 @@
       new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
   private final Map<Labels, Meters> meters = new ConcurrentHashMap<>();
   private final Map<String, Counter> counters = new ConcurrentHashMap<>();
+  private final Map<String, Timer> timers = new ConcurrentHashMap<>();
 
   /** Records a finished request. */
   public void finished(Exchange exchange, long nowNanos) {
     if (exchange.account() == null) {
-      count("clementinequay_unauthenticated_total");
+      count("clementinequay_unauthenticated_total", 1);
       return;
     }
     Labels labels = new Labels(exchange.account().name(), exchange.className());
@@ -55,9 +56,16 @@
         .record(nanos, TimeUnit.NANOSECONDS);
   }
 
-  /** Adds one to a counter without labels. */
-  public void count(String name) {
-    counters.computeIfAbsent(name, registry::counter).increment();
+  /** Adds to a counter without labels. */
+  public void count(String name, long amount) {
+    counters.computeIfAbsent(name, registry::counter).increment(amount);
+  }
+
+  /** Records a time in a histogram without labels. */
+  public void time(String name, long nanos) {
+    timers
+        .computeIfAbsent(name, key -> timer(key, Tags.empty()))
+        .record(nanos, TimeUnit.NANOSECONDS);
   }
 
   /** Registers a value that is read when the metrics are read. */
--- a/server/src/main/java/org/clementinequay/server/pipeline/ChatRun.java
+++ b/server/src/main/java/org/clementinequay/server/pipeline/ChatRun.java
@@ -41,6 +41,7 @@
   private final boolean sampled;
   private int stepIndex;
   private long attemptStartedNanos;
+  private long lastOutputNanos;
   private int triesInStep;
   private int resumptions;
   private int attemptNumber;
@@ -140,9 +141,14 @@
     synchronized (this) {
       writing = true;
     }
+    long now = dispatcher.clock.nanoTime();
+    if (exchange.replyStarted) {
+      dispatcher.gaps.accept(exchange, now - lastOutputNanos);
+    }
+    lastOutputNanos = now;
     if (!exchange.replyStarted) {
       exchange.replyStarted = true;
-      exchange.firstTokenNanos = dispatcher.clock.nanoTime();
+      exchange.firstTokenNanos = now;
       replies.beginStream(exchange, step().version(), attemptNumber);
     }
     exchange
--- a/server/src/main/java/org/clementinequay/server/pipeline/Dispatcher.java
+++ b/server/src/main/java/org/clementinequay/server/pipeline/Dispatcher.java
@@ -5,6 +5,7 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.ObjLongConsumer;
 import org.clementinequay.core.RefusalReason;
 import org.clementinequay.core.RequestFailedException;
 import org.clementinequay.core.config.Upstream;
@@ -31,6 +32,7 @@
   final RatingQueue ratings;
   final CascadeLearning learning;
   final UpstreamEvents events;
+  final ObjLongConsumer<Exchange> gaps;
   private final PlacementPolicy placement;
   private final LoadShedder shedder = new LoadShedder();
 
@@ -50,6 +52,7 @@
     this.ratings = Objects.requireNonNull(builder.ratings);
     this.learning = Objects.requireNonNull(builder.learning);
     this.events = Objects.requireNonNull(builder.events);
+    this.gaps = Objects.requireNonNull(builder.gaps);
     this.placement = Objects.requireNonNull(builder.placement);
   }
 
@@ -140,6 +143,7 @@
     private RatingQueue ratings;
     private CascadeLearning learning;
     private UpstreamEvents events = upstream -> {};
+    private ObjLongConsumer<Exchange> gaps = (exchange, nanos) -> {};
     private PlacementPolicy placement;
 
     private Builder() {}
@@ -186,6 +190,12 @@
       return this;
     }
 
+    /** Sets who is told of the time between two parts of a stream, in nanoseconds. */
+    public Builder gaps(ObjLongConsumer<Exchange> value) {
+      gaps = value;
+      return this;
+    }
+
     /** Sets who is told of ejections. */
     public Builder events(UpstreamEvents value) {
       events = value;
