Keep the affinity of a session over its whole life

Cause: the affinity key was the session token, which is renewed with every answer, so that each request of a session had another key. Change: the key is the account and the first message, which a session repeats and upstreams cache. Ruled out: an id in the token, which would change its form for no gain. Result: found by reading; no measurement of cache hits exists.

--- a/server/src/main/java/org/clementinequay/server/pipeline/ChatRun.java
+++ b/server/src/main/java/org/clementinequay/server/pipeline/ChatRun.java
@@ -124,16 +124,13 @@
     return step().draft() || !exchange.request().stream();
   }
 
-  /** Affinity by session, else by the start of the prompt, which upstreams cache. */
+  /**
+   * Affinity by the start of the conversation, which a session repeats with every request and which
+   * upstreams cache. A session token would not do: it is renewed with every answer.
+   */
   private OptionalLong affinityKey() {
-    return exchange
-        .request()
-        .sessionToken()
-        .map(token -> OptionalLong.of(token.hashCode()))
-        .orElseGet(
-            () ->
-                OptionalLong.of(
-                    exchange.request().chat().path("messages").path(0).toString().hashCode()));
+    String start = exchange.request().chat().path("messages").path(0).toString();
+    return OptionalLong.of((exchange.account().name() + start).hashCode());
   }
 
   @Override
