Share the evidence on a new version between hosts

Change: hosts tell their linked peers all counts they know, twice a second while traffic moves, and a stop at once; slow answers count too; the stored states are read every 2.5 s instead of 0.7 s. Ruled out: evidence in the store, dearer by a write a host and second.

--- a/core/src/main/java/org/clementinequay/core/rollout/TrafficShift.java
+++ b/core/src/main/java/org/clementinequay/core/rollout/TrafficShift.java
@@ -51,6 +51,10 @@
       return new Evidence(new TreeMap<>(), new TreeMap<>());
     }
 
+    long answers() {
+      return sum(target).answers() + sum(others).answers();
+    }
+
     Evidence copy() {
       return new Evidence(new TreeMap<>(target), new TreeMap<>(others));
     }
@@ -94,15 +98,20 @@
     judge();
   }
 
-  /** Replaces what a peer counted. */
+  /** Takes up what a host counted, as told by itself or another; older news is ignored. */
   public synchronized void peerEvidence(String host, Evidence evidence) {
-    byHost.put(host, evidence.copy());
-    judge();
+    Evidence known = byHost.get(host);
+    if (known == null || known.answers() < evidence.answers()) {
+      byHost.put(host, evidence.copy());
+      judge();
+    }
   }
 
-  /** Returns a copy of what a host counted. */
-  public synchronized Evidence evidence(String host) {
-    return byHost.getOrDefault(host, Evidence.empty()).copy();
+  /** Returns what each host counted. */
+  public synchronized Map<String, Evidence> evidence() {
+    Map<String, Evidence> result = new TreeMap<>();
+    byHost.forEach((host, evidence) -> result.put(host, evidence.copy()));
+    return result;
   }
 
   /** A peer proved the version worse. */
@@ -113,6 +122,11 @@
     }
   }
 
+  /** Returns how long ago the move began, in milliseconds. */
+  public synchronized long ageMillis(long nowNanos) {
+    return elapsedMillis(nowNanos);
+  }
+
   /** Returns why the version was stopped, or an empty text. */
   public synchronized String reason() {
     return reason;
--- a/server/src/main/java/org/clementinequay/server/gateway/Gateway.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/Gateway.java
@@ -18,6 +18,7 @@
 import org.clementinequay.core.forward.UpstreamInstance;
 import org.clementinequay.core.placement.EngineLedger;
 import org.clementinequay.core.rollout.ShiftOrder;
+import org.clementinequay.core.rollout.SlowAnswerDetector;
 import org.clementinequay.core.rollout.TrafficShift;
 import org.clementinequay.core.time.RuntimeClock;
 
@@ -30,6 +31,7 @@
   final DecisionLog log;
   final UpstreamTable health;
   final EngineLedger engines = new EngineLedger();
+  final SlowAnswerDetector slowAnswers = new SlowAnswerDetector();
   final RandomGenerator random;
   final String hostName;
   private final InstanceDirectory directory = new InstanceDirectory();
--- a/server/src/main/java/org/clementinequay/server/gateway/GatewayHost.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/GatewayHost.java
@@ -1,13 +1,21 @@
 package org.clementinequay.server.gateway;
 
 import com.google.common.flogger.FluentLogger;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.security.SecureRandom;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.SplittableRandom;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
+import org.clementinequay.core.Incarnation;
+import org.clementinequay.core.platform.HostEntry;
 import org.clementinequay.core.time.RuntimeClock;
+import org.clementinequay.server.peer.PeerIdentity;
+import org.clementinequay.server.peer.PeerTimings;
+import org.clementinequay.server.peer.TcpPeerNetwork;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.server.Server;
 
@@ -27,6 +35,19 @@
   /** Time before the end of the grace period at which open requests are given up. */
   private static final Duration STOP_MARGIN = Duration.ofMillis(700);
 
+  private static final double MIN_WEIGHT = 0.01;
+
+  /** As in production, but the host list is read rarely: each reading of the store is priced. */
+  private static final PeerTimings TIMINGS =
+      new PeerTimings(
+          PeerTimings.PRODUCTION.heartbeatInterval(),
+          PeerTimings.PRODUCTION.progressTimeout(),
+          PeerTimings.PRODUCTION.handshakeTimeout(),
+          PeerTimings.PRODUCTION.firstBackOff(),
+          PeerTimings.PRODUCTION.longestBackOff(),
+          PeerTimings.PRODUCTION.secondDialDelay(),
+          Duration.ofSeconds(6));
+
   private static final Duration DRAIN_POLL = Duration.ofMillis(50);
 
   private final GatewaySettings settings;
@@ -41,15 +62,22 @@
   private final CallerConnector connector;
   private final Server server;
   private final Server readyServer;
+  private final TcpPeerNetwork peers;
   private final List<Duty> duties = new ArrayList<>();
 
-  /** Creates the parts; nothing runs yet. */
+  /**
+   * Creates the parts and binds the peers' listener; nothing runs yet.
+   *
+   * @throws IOException if the peers' address cannot be bound
+   */
   public GatewayHost(
       GatewaySettings settings,
       RuntimeClock clock,
       LineLog log,
       GatewayProtocol protocol,
-      PlatformView platform) {
+      PlatformView platform,
+      HostRegistry registry)
+      throws IOException {
     this.settings = settings;
     this.clock = clock;
     this.log = log;
@@ -71,7 +99,32 @@
     this.readyServer = GatewayHttp.server("ready", settings.ready(), ready, false);
     duty("operator", new OperatorDuty(gateway, platform)::step);
     duty("instances", new InstanceDuty(gateway, platform)::step);
-    duty("rollouts", new ShiftDuty(gateway, platform)::step);
+    this.peers = network(registry);
+    ShiftGossip gossip = new ShiftGossip(gateway, peers);
+    duty("rollouts", new ShiftDuty(gateway, platform, gossip)::step);
+    HostEntry self =
+        new HostEntry(settings.name(), "entry", settings.domain(), settings.peers(), false);
+    duty("registration", new RegistrationDuty(registry, self, log)::step);
+  }
+
+  private TcpPeerNetwork network(HostRegistry registry) throws IOException {
+    PeerIdentity identity =
+        new PeerIdentity(
+            Incarnation.random(new SecureRandom()),
+            settings.name(),
+            settings.domain(),
+            settings.region(),
+            Math.max(MIN_WEIGHT, settings.processorShare()));
+    int colon = settings.peers().lastIndexOf(':');
+    return TcpPeerNetwork.builder(identity)
+        .listen(
+            new InetSocketAddress(
+                settings.peers().substring(0, colon),
+                Integer.parseInt(settings.peers().substring(colon + 1))))
+        .directory(registry)
+        .clock(clock)
+        .timings(TIMINGS)
+        .build();
   }
 
   private void duty(String name, Duty.Step step) {
@@ -82,6 +135,7 @@
   public void start() throws Exception {
     client.start();
     onceClient.start();
+    peers.start();
     duties.forEach(Duty::start);
     server.start();
     readyServer.start();
@@ -117,6 +171,7 @@
     }
     log.record("stopped", "cut", handler.openRequests());
     duties.forEach(Duty::close);
+    peers.close();
     timers.shutdownNow();
     log.close();
   }
--- a/server/src/main/java/org/clementinequay/server/gateway/GatewayRun.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/GatewayRun.java
@@ -41,6 +41,9 @@
   /** Confidence, 0 to 100, below which the answer of a smaller model is dropped. */
   private static final int ACCEPTED_CONFIDENCE = 50;
 
+  /** Events from which the pace of a stream is measured. */
+  private static final int EVENTS_FOR_PACE = 4;
+
   private static final int BAD_GATEWAY = 502;
   private static final int UNAVAILABLE = 503;
   private static final int GATEWAY_TIMEOUT = 504;
@@ -191,6 +194,9 @@
       Attempt attempt = current;
       current = null;
       attempt.release();
+      if (attempt.slow) {
+        attempt.observe(false);
+      }
       gateway.health.abandoned(attempt.instance.id());
       attempt.call.abandon(new java.io.IOException(why));
     }
@@ -264,6 +270,7 @@
     private long firstEventNanos;
     private long firstEventId;
     private boolean released;
+    private boolean slow;
 
     private Attempt(UpstreamInstance instance, EngineLedger.Choice choice) {
       this.instance = instance;
@@ -273,6 +280,9 @@
     private void release() {
       if (!released) {
         released = true;
+        if (relaying()) {
+          learnPace();
+        }
         gateway.engines.finished(instance.id(), choice.workMillis());
       }
     }
@@ -417,13 +427,6 @@
       }
       succeeded();
       settle();
-      long generated = events.lastId() - firstEventId;
-      long nanos = gateway.clock.nanoTime() - firstEventNanos;
-      if (generated > 4) {
-        gateway.engines.paced(
-            instance.id(),
-            nanos / 1e6 / (generated * placement.tokensPerEvent()) / placement.weight());
-      }
       log("done", "upstream", instance.id(), "events", events.lastId(), "ms", elapsedMillis());
       reply.end();
     }
@@ -493,13 +496,36 @@
       observe(false);
     }
 
+    /** Learns how fast the engine is, also from a stream that was broken off. */
+    private void learnPace() {
+      long generated = events.lastId() - firstEventId;
+      long nanos = gateway.clock.nanoTime() - firstEventNanos;
+      if (firstEventNanos == 0 || generated <= EVENTS_FOR_PACE) {
+        return;
+      }
+      double pace = nanos / 1e6 / (generated * placement.tokensPerEvent()) / placement.weight();
+      gateway.engines.paced(instance.id(), pace);
+      slow = gateway.slowAnswers.slow(service, pace, !ofTarget());
+    }
+
+    private boolean ofTarget() {
+      return gateway
+          .shift(service)
+          .map(shift -> shift.order().target().equals(instance.version()))
+          .orElse(false);
+    }
+
     private void observe(boolean failure) {
+      if (!route.kind().streaming() && !failure) {
+        double millis = (gateway.clock.nanoTime() - sentNanos) / 1e6;
+        slow = gateway.slowAnswers.slow(route.name(), millis, !ofTarget());
+      }
       gateway
           .shift(service)
           .ifPresent(
               shift ->
                   shift.answered(
-                      gateway.hostName, route.name(), instance.version(), failure, false));
+                      gateway.hostName, route.name(), instance.version(), failure, slow));
     }
 
     @Override
--- /dev/null
+++ b/server/src/main/java/org/clementinequay/server/gateway/RegistrationDuty.java
@@ -0,0 +1,34 @@
+package org.clementinequay.server.gateway;
+
+import java.time.Duration;
+import org.clementinequay.core.platform.HostEntry;
+import org.clementinequay.core.platform.PlatformException;
+
+/** Enters this host in the list of entry hosts once, as soon as the store takes it. */
+final class RegistrationDuty {
+  private static final Duration AFTER_FAILURE = Duration.ofMillis(500);
+
+  /** The entry stays until it is replaced, so nothing is left to do. */
+  private static final Duration DONE = Duration.ofDays(1);
+
+  private final HostRegistry registry;
+  private final HostEntry self;
+  private final Dependency dependency;
+
+  RegistrationDuty(HostRegistry registry, HostEntry self, DecisionLog log) {
+    this.registry = registry;
+    this.self = self;
+    this.dependency = new Dependency("list of entry hosts", log);
+  }
+
+  Duration step() {
+    try {
+      registry.register(self);
+      dependency.succeeded();
+      return DONE;
+    } catch (PlatformException e) {
+      dependency.failed(e);
+      return AFTER_FAILURE;
+    }
+  }
+}
--- a/server/src/main/java/org/clementinequay/server/gateway/ShiftDuty.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/ShiftDuty.java
@@ -14,32 +14,52 @@
  * store a state; the row's revision decides between two, and a final state is never changed.
  */
 final class ShiftDuty {
-  private static final Duration IDLE = Duration.ofMillis(500);
-  private static final Duration BUSY = Duration.ofMillis(700);
+  private static final Duration IDLE = Duration.ofMillis(400);
+
+  /** Pause between two looks at the evidence while traffic moves. */
+  private static final Duration BUSY = Duration.ofMillis(200);
+
+  /** Time between two readings of the stored states; peers tell what they stored meanwhile. */
+  private static final long READ_INTERVAL_NANOS = 2_500_000_000L;
+
   private static final Duration AFTER_FAILURE = Duration.ofMillis(250);
 
   private final Gateway gateway;
   private final PlatformView platform;
+  private final ShiftGossip gossip;
   private final Dependency dependency;
+  private long readAtNanos;
+  private boolean read;
 
-  ShiftDuty(Gateway gateway, PlatformView platform) {
+  ShiftDuty(Gateway gateway, PlatformView platform, ShiftGossip gossip) {
     this.gateway = gateway;
     this.platform = platform;
+    this.gossip = gossip;
     this.dependency = new Dependency("states of roll-outs", gateway.log);
   }
 
   Duration step() {
     List<TrafficShift> open = new ArrayList<>();
+    boolean due = false;
+    long now = gateway.clock.nanoTime();
     for (TrafficShift shift : gateway.shifts()) {
       if (!shift.state().ended()) {
         open.add(shift);
+        due |= shift.due(now).isPresent();
       }
     }
     if (open.isEmpty()) {
+      read = false;
       return IDLE;
     }
+    gossip.tell(open, now);
+    if (read && !due && now - readAtNanos < READ_INTERVAL_NANOS) {
+      return BUSY;
+    }
     try {
       List<StoredShift> stored = platform.shifts();
+      readAtNanos = now;
+      read = true;
       for (TrafficShift shift : open) {
         reconcile(shift, stored);
       }
--- /dev/null
+++ b/server/src/main/java/org/clementinequay/server/gateway/ShiftGossip.java
@@ -0,0 +1,101 @@
+package org.clementinequay.server.gateway;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.clementinequay.core.rollout.TrafficShift;
+import org.clementinequay.core.rollout.VersionCounts;
+import org.clementinequay.server.peer.PeerMessage;
+import org.clementinequay.server.peer.PeerNetwork;
+
+/**
+ * Tells the peers what is known of moves of traffic, at an interval and at once when a version is
+ * stopped. Each host sees few answers of a version with a small share; together they see enough.
+ */
+final class ShiftGossip implements PeerNetwork.Listener {
+  /** Time between two messages on a move. */
+  private static final long INTERVAL_NANOS = 500_000_000L;
+
+  private final Gateway gateway;
+  private final PeerNetwork peers;
+  private final Map<String, Long> toldAt = new HashMap<>();
+  private final Map<String, String> toldStop = new HashMap<>();
+
+  ShiftGossip(Gateway gateway, PeerNetwork peers) {
+    this.gateway = gateway;
+    this.peers = peers;
+    peers.addListener(this);
+  }
+
+  /** Sends news of the moves that have not ended; called by one thread. */
+  void tell(List<TrafficShift> shifts, long nowNanos) {
+    for (TrafficShift shift : shifts) {
+      String service = shift.order().service();
+      String stop = shift.reason();
+      boolean stopNews = !stop.isEmpty() && !stop.equals(toldStop.get(service));
+      Long last = toldAt.get(service);
+      if (stopNews || last == null || nowNanos - last >= INTERVAL_NANOS) {
+        toldAt.put(service, nowNanos);
+        toldStop.put(service, stop);
+        peers.broadcast(news(shift, nowNanos));
+      }
+    }
+  }
+
+  private static PeerMessage.ShiftNews news(TrafficShift shift, long nowNanos) {
+    List<PeerMessage.ShiftCount> counts = new ArrayList<>();
+    shift
+        .evidence()
+        .forEach(
+            (host, evidence) -> {
+              add(counts, host, true, evidence.target());
+              add(counts, host, false, evidence.others());
+            });
+    return new PeerMessage.ShiftNews(
+        shift.order().service(),
+        shift.order().revision(),
+        shift.ageMillis(nowNanos),
+        shift.reason(),
+        counts);
+  }
+
+  private static void add(
+      List<PeerMessage.ShiftCount> counts,
+      String host,
+      boolean target,
+      Map<String, VersionCounts> byRoute) {
+    byRoute.forEach(
+        (route, count) ->
+            counts.add(
+                new PeerMessage.ShiftCount(
+                    host, route, target, count.answers(), count.errors(), count.bad())));
+  }
+
+  @Override
+  public void received(PeerNetwork.Peer from, PeerMessage message) {
+    if (message instanceof PeerMessage.ShiftNews news) {
+      gateway
+          .shift(news.service())
+          .filter(shift -> shift.order().revision() == news.order())
+          .ifPresent(shift -> apply(shift, news));
+    }
+  }
+
+  private void apply(TrafficShift shift, PeerMessage.ShiftNews news) {
+    Map<String, TrafficShift.Evidence> byHost = new HashMap<>();
+    for (PeerMessage.ShiftCount count : news.counts()) {
+      TrafficShift.Evidence evidence =
+          byHost.computeIfAbsent(count.host(), h -> TrafficShift.Evidence.empty());
+      VersionCounts counts =
+          new VersionCounts(count.answers(), count.errors(), count.answers(), count.slow());
+      (count.target() ? evidence.target() : evidence.others()).put(count.route(), counts);
+    }
+    byHost.remove(gateway.hostName);
+    byHost.forEach(shift::peerEvidence);
+    shift.startedAt(gateway.clock.nanoTime() - news.ageMillis() * 1_000_000);
+    if (!news.stopped().isEmpty()) {
+      shift.stoppedByPeer(news.stopped());
+    }
+  }
+}
--- a/server/src/main/java/org/clementinequay/server/peer/PeerMessage.java
+++ b/server/src/main/java/org/clementinequay/server/peer/PeerMessage.java
@@ -22,7 +22,8 @@
   @JsonSubTypes.Type(value = PeerMessage.BillSealed.class, name = "bill_sealed"),
   @JsonSubTypes.Type(value = PeerMessage.UpstreamNews.class, name = "upstream_news"),
   @JsonSubTypes.Type(value = PeerMessage.VersionStopped.class, name = "version_stopped"),
-  @JsonSubTypes.Type(value = PeerMessage.Counters.class, name = "counters")
+  @JsonSubTypes.Type(value = PeerMessage.Counters.class, name = "counters"),
+  @JsonSubTypes.Type(value = PeerMessage.ShiftNews.class, name = "shift")
 })
 public sealed interface PeerMessage {
   /** First message on a connection, in both directions. */
@@ -84,4 +85,31 @@
 
   /** Mergeable counters of a policy, such as pass rates, as compact JSON. */
   record Counters(String kind, String json) implements PeerMessage {}
+
+  /**
+   * What the sender knows of the move of a service's traffic to another version, its own answers
+   * and those that other hosts told it, because not all hosts are linked.
+   *
+   * @param service the service
+   * @param order number of the order
+   * @param ageMillis how long ago the sender saw the order
+   * @param stopped why the version was stopped; empty if it was not
+   * @param counts answers by host and route
+   */
+  record ShiftNews(
+      @JsonProperty("s") String service,
+      @JsonProperty("o") long order,
+      @JsonProperty("a") long ageMillis,
+      @JsonProperty("x") String stopped,
+      @JsonProperty("c") List<ShiftCount> counts)
+      implements PeerMessage {}
+
+  /** Answers of one host on one route, by the new version or by all others. */
+  record ShiftCount(
+      @JsonProperty("h") String host,
+      @JsonProperty("r") String route,
+      @JsonProperty("t") boolean target,
+      @JsonProperty("n") long answers,
+      @JsonProperty("e") long errors,
+      @JsonProperty("s") long slow) {}
 }
