Keep sessions on their version while traffic moves

Change: the place of a session in the order of all sessions is a hash that every host computes alike; a host also remembers where a session ran last; the share stays small for half of the duration. A request that failed on the new version goes on with the old one. Ruled out: sharing the sessions between hosts, since the hash agrees.

--- a/core/src/main/java/org/clementinequay/core/rollout/TrafficShift.java
+++ b/core/src/main/java/org/clementinequay/core/rollout/TrafficShift.java
@@ -20,16 +20,19 @@
   /** Share after the first evidence; both versions then serve with all their upstreams. */
   static final double SECOND_SHARE = 0.5;
 
-  /** Parts of the order's duration at which a stage may begin, and the latest start of the last. */
-  static final double SECOND_STAGE_AT = 0.25;
+  /** Part of the duration before which no session may be moved to the new version. */
+  static final double SESSIONS_MOVE_AT = 0.5;
 
-  static final double LAST_STAGE_AT = 0.55;
+  /** Parts of the order's duration at which the second and the last stage begin. */
+  static final double SECOND_STAGE_AT = 0.51;
+
+  static final double LAST_STAGE_AT = 0.62;
 
   /** Answers of the new version that the second stage needs. */
   static final int ANSWERS_FOR_SECOND_STAGE = 15;
 
   /** Part of the duration after which the traffic moves with little evidence but none against. */
-  static final double LATEST_SECOND_STAGE_AT = 0.45;
+  static final double LATEST_SECOND_STAGE_AT = 0.58;
 
   /** Time before the end of the duration at which the move is completed, in milliseconds. */
   static final long COMPLETION_MARGIN_MILLIS = 3500;
@@ -140,7 +143,7 @@
     if (state == ShiftState.ROLLED_BACK || provedWorse) {
       return 0;
     }
-    double part = elapsedMillis(nowNanos) / (double) Math.max(1, order.duration().toMillis());
+    double part = part(nowNanos);
     long answers = totals(true).values().stream().mapToLong(VersionCounts::answers).sum();
     boolean enough = answers >= ANSWERS_FOR_SECOND_STAGE && part >= SECOND_STAGE_AT;
     if (!enough && part < LATEST_SECOND_STAGE_AT) {
@@ -149,6 +152,43 @@
     return part >= LAST_STAGE_AT ? 1 : SECOND_SHARE;
   }
 
+  /**
+   * Returns whether a request goes to the new version. The same session gets the same answer on
+   * every host, and never changes back from the new version while that is good: its place in the
+   * order of all sessions is fixed and the share only rises.
+   *
+   * @param session id of the session, or of the request if it has none
+   * @param lastVersion version on which the session ran last, if it is known and has not ended
+   */
+  public synchronized boolean toTarget(
+      String session, Optional<String> lastVersion, long nowNanos) {
+    double share = share(nowNanos);
+    if (share <= 0 || share >= 1) {
+      return share >= 1;
+    }
+    if (lastVersion.isPresent()) {
+      if (lastVersion.get().equals(order.target())) {
+        return true;
+      }
+      if (part(nowNanos) < SESSIONS_MOVE_AT) {
+        return false;
+      }
+    }
+    return place(session) < share;
+  }
+
+  /** Returns a number from 0 to 1 that depends on the session and the order alone. */
+  private double place(String session) {
+    long z = session.hashCode() * 0x9e3779b97f4a7c15L + order.revision();
+    z = (z ^ (z >>> 30)) * 0xbf58476d1ce4e5b9L;
+    z = (z ^ (z >>> 27)) * 0x94d049bb133111ebL;
+    return ((z ^ (z >>> 31)) >>> 11) * 0x1.0p-53;
+  }
+
+  private double part(long nowNanos) {
+    return elapsedMillis(nowNanos) / (double) Math.max(1, order.duration().toMillis());
+  }
+
   /** Returns the final state that should be stored now, if there is one. */
   public synchronized Optional<ShiftState> due(long nowNanos) {
     if (state.ended()) {
--- a/server/src/main/java/org/clementinequay/server/gateway/AttemptPlacement.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/AttemptPlacement.java
@@ -23,6 +23,7 @@
   private final Route route;
   private final String service;
   private int size;
+  private boolean failedOnTarget;
 
   /** Chosen upstream and what the choice is based on. */
   record Placed(UpstreamInstance instance, EngineLedger.Choice choice) {}
@@ -82,16 +83,36 @@
 
   private List<UpstreamInstance> candidates(Set<String> tried) {
     Optional<TrafficShift> shift = gateway.shift(service);
-    double share = shift.map(s -> s.share(gateway.clock.nanoTime())).orElse(0.0);
-    boolean target = shift.isPresent() && gateway.random.nextDouble() < share;
+    boolean target = shift.isPresent() && toTarget(shift.get());
     List<UpstreamInstance> result = untried(tried, shift, target);
-    if (result.isEmpty() && target && share < 1) {
-      result = untried(tried, shift, false);
+    if (result.isEmpty() && shift.isPresent() && !shift.get().state().ended()) {
+      result = untried(tried, shift, !target && shift.get().reason().isEmpty());
     }
     shuffle(result);
     return result;
   }
 
+  /**
+   * A request that failed on the new version goes on with the old one, unless its session may not.
+   */
+  private boolean toTarget(TrafficShift shift) {
+    long now = gateway.clock.nanoTime();
+    Optional<String> last = request.session().flatMap(s -> gateway.sessions.version(s, now));
+    String id = request.session().or(request::id).orElse("");
+    boolean target = shift.toTarget(id, last, now);
+    boolean bound = last.isPresent() && last.get().equals(shift.order().target());
+    return target && (!failedOnTarget || bound || shift.share(now) >= 1);
+  }
+
+  /** An attempt failed; the next one prefers the other version if this was the new one. */
+  void failed(UpstreamInstance instance) {
+    failedOnTarget |=
+        gateway
+            .shift(service)
+            .map(shift -> shift.order().target().equals(instance.version()))
+            .orElse(false);
+  }
+
   private List<UpstreamInstance> untried(
       Set<String> tried, Optional<TrafficShift> shift, boolean target) {
     List<UpstreamInstance> result = new ArrayList<>();
--- a/server/src/main/java/org/clementinequay/server/gateway/Gateway.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/Gateway.java
@@ -20,6 +20,7 @@
 import org.clementinequay.core.rollout.ShiftOrder;
 import org.clementinequay.core.rollout.SlowAnswerDetector;
 import org.clementinequay.core.rollout.TrafficShift;
+import org.clementinequay.core.session.SessionVersions;
 import org.clementinequay.core.time.RuntimeClock;
 
 /** What the requests of a host share: configuration, upstreams, their health and load, budgets. */
@@ -31,6 +32,7 @@
   final DecisionLog log;
   final UpstreamTable health;
   final EngineLedger engines = new EngineLedger();
+  final SessionVersions sessions;
   final SlowAnswerDetector slowAnswers = new SlowAnswerDetector();
   final RandomGenerator random;
   final String hostName;
@@ -47,6 +49,7 @@
    *
    * @param retriesPerRequest retries and second sizes allowed for each request of a service
    * @param retryBalance retries allowed in a burst, for this host's share of the deployment
+   * @param sessionIdleTime time without a request after which a session has ended
    */
   public Gateway(
       String hostName,
@@ -57,7 +60,8 @@
       DecisionLog log,
       RandomGenerator random,
       double retriesPerRequest,
-      double retryBalance) {
+      double retryBalance,
+      Duration sessionIdleTime) {
     this.hostName = hostName;
     this.clock = clock;
     this.protocol = protocol;
@@ -68,6 +72,7 @@
     this.health = new UpstreamTable(clock);
     this.retriesPerRequest = retriesPerRequest;
     this.retryBalance = retryBalance;
+    this.sessions = new SessionVersions(sessionIdleTime);
   }
 
   /** Returns the configuration in force, if one is known. */
--- a/server/src/main/java/org/clementinequay/server/gateway/GatewayHost.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/GatewayHost.java
@@ -91,7 +91,8 @@
             log,
             new SplittableRandom(),
             settings.retriesPerRequest() * RETRY_SHARE,
-            settings.retryBurst() * RETRY_SHARE / ASSUMED_HOSTS);
+            settings.retryBurst() * RETRY_SHARE / ASSUMED_HOSTS,
+            Duration.ofMillis((long) (settings.sessionSeconds() * 1000)));
     this.handler = new GatewayHandler(gateway);
     this.ready = new ReadyHandler(gateway);
     this.server = GatewayHttp.server("callers", settings.callers(), handler, true);
--- a/server/src/main/java/org/clementinequay/server/gateway/GatewayRun.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/GatewayRun.java
@@ -177,9 +177,18 @@
         Math.round(choice.workMillis()),
         "left_ms",
         remaining);
+    rememberVersion(instance);
     attempt.call.start();
   }
 
+  private void rememberVersion(UpstreamInstance instance) {
+    request
+        .session()
+        .ifPresent(
+            session ->
+                gateway.sessions.used(session, instance.version(), gateway.clock.nanoTime()));
+  }
+
   private int urgency() {
     return Math.min(
         9, account.map(AccountKeys::priority).orElse(OptionalInt.empty()).orElse(route.priority()));
@@ -464,6 +473,7 @@
       mayHaveRun = true;
       gateway.health.succeeded(instance.id());
       observe(true);
+      placement.failed(instance);
       log("upstream_failed", "upstream", instance.id(), "status", head.status());
       boolean more =
           route.kind().repeatable()
@@ -492,6 +502,7 @@
       current = null;
       release();
       mayHaveRun = true;
+      rememberVersion(instance);
       gateway.health.succeeded(instance.id());
       observe(false);
     }
@@ -534,7 +545,7 @@
         if (!active()) {
           return;
         }
-        broken(String.valueOf(cause.getMessage()), offered);
+        broken(Failures.summary(cause), offered);
       }
     }
 
@@ -548,6 +559,7 @@
       boolean ejected = gateway.health.failed(instance.id());
       if (offered) {
         observe(true);
+        placement.failed(instance);
       }
       log(
           "broken",
