--- /dev/null
+++ b/core/src/main/java/org/clementinequay/core/dispatch/StallRule.java
@@ -0,0 +1,66 @@
+package org.clementinequay.core.dispatch;
+
+import org.clementinequay.core.forward.RequestKind;
+
+/**
+ * Decides when an attempt that makes no progress is given up for another upstream. Answers the load
+ * pattern of a cut failure domain or a dark engine that holds many streams: their connections stay
+ * open and silent, and a stream that moves within its objective for pauses is still on time. An
+ * engine that answers others is busy and not stalled, so its silence towards this host counts.
+ */
+public final class StallRule {
+  /** Part of the objective for the first event after which a silent engine is given up. */
+  static final double FIRST_EVENT_PART = 0.35;
+
+  /** Part of the objective for pauses after which a stream from a silent engine moves. */
+  static final double PAUSE_PART = 0.55;
+
+  /** Part of the objective for pauses for which the engine must have been silent to all. */
+  static final double SILENCE_PART = 0.4;
+
+  /** Times the objective after which an idempotent call is repeated elsewhere. */
+  static final double CALL_OBJECTIVES = 2;
+
+  /** Shortest time for an idempotent call, in milliseconds, where objectives are very short. */
+  static final long SHORTEST_CALL_MILLIS = 250;
+
+  /** Objectives of streams that state none, in milliseconds. */
+  private static final long DEFAULT_FIRST_EVENT_MILLIS = 4000;
+
+  private static final long DEFAULT_PAUSE_MILLIS = 1000;
+
+  private StallRule() {}
+
+  /**
+   * Decides about one attempt.
+   *
+   * @param objectiveMillis objective for the answer or the first event; 0 if there is none
+   * @param pauseObjectiveMillis objective for pauses between events; 0 if there is none
+   * @param started whether events were received
+   * @param attemptSilenceMillis time since the attempt was sent or received its last event
+   * @param upstreamSilenceMillis time since this host heard anything from the upstream, but not
+   *     more than the age of the attempt
+   */
+  public static boolean stalled(
+      RequestKind kind,
+      long objectiveMillis,
+      long pauseObjectiveMillis,
+      boolean started,
+      long attemptSilenceMillis,
+      long upstreamSilenceMillis) {
+    if (!kind.repeatable()) {
+      return false;
+    }
+    if (!kind.streaming()) {
+      double bound = Math.max(SHORTEST_CALL_MILLIS, CALL_OBJECTIVES * objectiveMillis);
+      return attemptSilenceMillis >= bound;
+    }
+    if (!started) {
+      long objective = objectiveMillis > 0 ? objectiveMillis : DEFAULT_FIRST_EVENT_MILLIS;
+      return Math.min(attemptSilenceMillis, upstreamSilenceMillis) >= FIRST_EVENT_PART * objective;
+    }
+    long pause = pauseObjectiveMillis > 0 ? pauseObjectiveMillis : DEFAULT_PAUSE_MILLIS;
+    return attemptSilenceMillis >= PAUSE_PART * pause
+        && upstreamSilenceMillis >= SILENCE_PART * pause;
+  }
+}
--- a/core/src/main/java/org/clementinequay/core/dispatch/UpstreamHealth.java
+++ b/core/src/main/java/org/clementinequay/core/dispatch/UpstreamHealth.java
@@ -16,6 +16,7 @@
   /** Longest pause between probes; a recovered upstream is back within this time. */
   static final Duration MAX_PROBE_AFTER = Duration.ofSeconds(15);
 
+  private final Duration maxProbeAfter;
   private int failuresInRow;
   private boolean ejected;
   private boolean probing;
@@ -23,6 +24,10 @@
   private long probeAtNanos;
   private Duration pause = FIRST_PROBE_AFTER;
 
+  UpstreamHealth(Duration maxProbeAfter) {
+    this.maxProbeAfter = maxProbeAfter;
+  }
+
   boolean available(long nowNanos) {
     return !leaving && (!ejected || (!probing && nowNanos - probeAtNanos >= 0));
   }
@@ -54,10 +59,20 @@
     return ejected && !wasEjected;
   }
 
+  /** Ejects at once; several attempts that fail together count as one failure. */
+  boolean unreachable(long nowNanos) {
+    boolean wasEjected = ejected;
+    if (!ejected || probing) {
+      eject(nowNanos);
+    }
+    probing = false;
+    return !wasEjected;
+  }
+
   void eject(long nowNanos) {
     if (ejected) {
       Duration doubled = pause.multipliedBy(2);
-      pause = doubled.compareTo(MAX_PROBE_AFTER) > 0 ? MAX_PROBE_AFTER : doubled;
+      pause = doubled.compareTo(maxProbeAfter) > 0 ? maxProbeAfter : doubled;
     }
     ejected = true;
     probeAtNanos = nowNanos + pause.toNanos();
--- a/core/src/main/java/org/clementinequay/core/dispatch/UpstreamTable.java
+++ b/core/src/main/java/org/clementinequay/core/dispatch/UpstreamTable.java
@@ -1,5 +1,6 @@
 package org.clementinequay.core.dispatch;
 
+import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Objects;
@@ -10,9 +11,21 @@
   private final RuntimeClock clock;
   private final Map<String, UpstreamHealth> byName = new HashMap<>();
 
+  private final Duration maxProbeAfter;
+
   /** Creates an empty table. */
   public UpstreamTable(RuntimeClock clock) {
+    this(clock, UpstreamHealth.MAX_PROBE_AFTER);
+  }
+
+  /**
+   * Creates an empty table.
+   *
+   * @param maxProbeAfter longest pause between probes of an ejected upstream
+   */
+  public UpstreamTable(RuntimeClock clock, Duration maxProbeAfter) {
     this.clock = Objects.requireNonNull(clock);
+    this.maxProbeAfter = Objects.requireNonNull(maxProbeAfter);
   }
 
   /** Returns whether new work may be sent to the upstream. */
@@ -57,6 +70,13 @@
     return health(upstream).failed(clock.nanoTime());
   }
 
+  /**
+   * The upstream cannot be reached, or is silent to all attempts; returns whether this ejected it.
+   */
+  public synchronized boolean unreachable(String upstream) {
+    return health(upstream).unreachable(clock.nanoTime());
+  }
+
   /** A peer ejected the upstream. */
   public synchronized void ejectedByPeer(String upstream) {
     UpstreamHealth health = health(upstream);
@@ -74,6 +94,6 @@
   }
 
   private UpstreamHealth health(String upstream) {
-    return byName.computeIfAbsent(upstream, name -> new UpstreamHealth());
+    return byName.computeIfAbsent(upstream, name -> new UpstreamHealth(maxProbeAfter));
   }
 }
--- a/core/src/main/java/org/clementinequay/core/placement/EngineLedger.java
+++ b/core/src/main/java/org/clementinequay/core/placement/EngineLedger.java
@@ -110,6 +110,18 @@
     engine.ownAtReport = engine.own;
   }
 
+  /** Records that this host received something from an engine. */
+  public synchronized void heard(String name, long nowNanos) {
+    engine(name).heardNanos = nowNanos;
+    engine(name).everHeard = true;
+  }
+
+  /** Returns the time since this host received something from an engine, in milliseconds. */
+  public synchronized long silenceMillis(String name, long nowNanos) {
+    Engine engine = engine(name);
+    return engine.everHeard ? (nowNanos - engine.heardNanos) / 1_000_000 : Long.MAX_VALUE;
+  }
+
   /** Returns how many runs of this host are outstanding on an engine. */
   public synchronized int outstanding(String name) {
     return engine(name).own;
@@ -165,6 +177,8 @@
     private int ownAtReport;
     private LoadReport report;
     private double pace;
+    private long heardNanos;
+    private boolean everHeard;
 
     private double outstanding(long nowNanos, double meanWork) {
       if (report == null) {
--- a/core/src/main/java/org/clementinequay/core/rollout/TrafficShift.java
+++ b/core/src/main/java/org/clementinequay/core/rollout/TrafficShift.java
@@ -9,9 +9,9 @@
  * Moves a service's traffic to another version within a fixed time: a small share until the
  * evidence of all hosts is enough, then half, then all, and completion once requests on the old
  * version have had time to end. At any time it rolls back when the new version is proved worse on
- * any route by the confidence sequence of {@link VersionCounts}, which may be looked at after each
- * answer. Answers the load pattern of a version that fails at once, late, under load or on one
- * route only, while the share is small enough to keep the exposure bounded. Thread-safe.
+ * any route by {@link SequentialRatioTest}, which may be looked at after each answer. Answers the
+ * load pattern of a version that fails at once, late, under load or on one route only, while the
+ * share is small enough to keep the exposure bounded. Thread-safe.
  */
 public final class TrafficShift {
   /** Share of the new version at first; below the exposure that the deployments allow (0.15). */
@@ -214,19 +214,26 @@
     VersionCounts allTarget = sum(target);
     VersionCounts allOthers = sum(others);
     double alpha = FALSE_ROLLBACKS / (target.size() + 1);
-    if (allTarget.provedWorseThan(allOthers, alpha)) {
+    if (worse(allTarget, allOthers, alpha)) {
       stop("all routes", allTarget, allOthers);
       return;
     }
     for (Map.Entry<String, VersionCounts> entry : target.entrySet()) {
       VersionCounts reference = others.getOrDefault(entry.getKey(), allOthers);
-      if (entry.getValue().provedWorseThan(reference, alpha)) {
+      if (worse(entry.getValue(), reference, alpha)) {
         stop("route " + entry.getKey(), entry.getValue(), reference);
         return;
       }
     }
   }
 
+  private static boolean worse(VersionCounts target, VersionCounts reference, double alpha) {
+    return SequentialRatioTest.worse(
+            target.errors(), target.answers(), reference.errors(), reference.answers(), alpha / 2)
+        || SequentialRatioTest.worse(
+            target.bad(), target.rated(), reference.bad(), reference.rated(), alpha / 2);
+  }
+
   private void stop(String where, VersionCounts target, VersionCounts others) {
     provedWorse = true;
     reason = where + ": " + target.summary() + "; other versions " + others.summary();
--- /dev/null
+++ b/core/src/test/java/org/clementinequay/core/dispatch/EventSplitterTest.java
@@ -0,0 +1,76 @@
+package org.clementinequay.core.dispatch;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertThrows;
+import static org.testng.Assert.assertTrue;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Guards against answers with missing, repeated or broken events. */
+public class EventSplitterTest {
+  private static String feed(EventSplitter splitter, String text) throws CorruptStreamException {
+    byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
+    return new String(splitter.feed(ByteBuffer.wrap(bytes)), StandardCharsets.UTF_8);
+  }
+
+  /** A stream from its first event. */
+  public static class Whole {
+    private EventSplitter splitter;
+
+    @BeforeMethod
+    public void create() {
+      splitter = new EventSplitter(0);
+    }
+
+    @Test
+    public void passesWholeEventsAndKeepsTheRest() throws CorruptStreamException {
+      assertEquals(feed(splitter, "id: 1\ndata: a\n\nid: 2\nda"), "id: 1\ndata: a\n\n");
+      assertTrue(splitter.partial());
+      assertEquals(splitter.lastId(), 1);
+      assertEquals(feed(splitter, "ta: b\n\n"), "id: 2\ndata: b\n\n");
+      assertEquals(splitter.lastId(), 2);
+    }
+
+    @Test
+    public void separatorMayBeSplit() throws CorruptStreamException {
+      assertEquals(feed(splitter, "id: 1\ndata: a\n"), "");
+      assertEquals(feed(splitter, "\n"), "id: 1\ndata: a\n\n");
+    }
+
+    @Test
+    public void idMayFollowOtherLines() throws CorruptStreamException {
+      String event = "weight-versions: 2\nid: 1\ndata: a\n\n";
+      assertEquals(feed(splitter, event), event);
+    }
+
+    @Test
+    public void missingEventIsCorrupt() {
+      assertThrows(CorruptStreamException.class, () -> feed(splitter, "id: 2\ndata: a\n\n"));
+    }
+
+    @Test
+    public void eventWithoutIdIsCorrupt() {
+      assertThrows(CorruptStreamException.class, () -> feed(splitter, "data: a\n\n"));
+    }
+  }
+
+  /** A stream that goes on elsewhere. */
+  public static class Resumed {
+    @Test
+    public void repeatedEventsAreDropped() throws CorruptStreamException {
+      EventSplitter splitter = new EventSplitter(0);
+      feed(splitter, "id: 1\ndata: a\n\nid: 2\nda");
+      splitter.discardPartial();
+      assertEquals(feed(splitter, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"), "id: 2\ndata: b\n\n");
+    }
+
+    @Test
+    public void startsAfterTheCallersLastEvent() throws CorruptStreamException {
+      EventSplitter splitter = new EventSplitter(12);
+      assertEquals(feed(splitter, "id: 13\ndata: a\n\n"), "id: 13\ndata: a\n\n");
+    }
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/clementinequay/core/rollout/TrafficShiftTest.java
@@ -0,0 +1,133 @@
+package org.clementinequay.core.rollout;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.time.Duration;
+import java.util.Optional;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Guards against exposure to a bad version, missed completion and sessions that change version. */
+public class TrafficShiftTest {
+  private static final long SECOND = 1_000_000_000L;
+  private static final ShiftOrder ORDER = new ShiftOrder("s", "v2", Duration.ofSeconds(24), 10);
+
+  private static void answers(
+      TrafficShift shift, String host, String route, String version, int good, int failed) {
+    for (int i = 0; i < good + failed; i++) {
+      shift.answered(host, route, version, i < failed, false);
+    }
+  }
+
+  /** Evidence on the new version. */
+  public static class Evidence {
+    private TrafficShift shift;
+
+    @BeforeMethod
+    public void create() {
+      shift = new TrafficShift(ORDER, 0);
+      answers(shift, "h1", "r1", "v1", 60, 0);
+      answers(shift, "h1", "r2", "v1", 40, 1);
+    }
+
+    @Test
+    public void versionThatFailsAThirdIsRolledBackWithinTwentyAnswers() {
+      answers(shift, "h1", "r1", "v2", 14, 6);
+      assertEquals(shift.share(5 * SECOND), 0.0);
+      assertEquals(shift.due(5 * SECOND), Optional.of(ShiftState.ROLLED_BACK));
+    }
+
+    @Test
+    public void versionThatFailsOnOneRouteIsRolledBack() {
+      answers(shift, "h1", "r1", "v2", 40, 0);
+      answers(shift, "h1", "r2", "v2", 3, 6);
+      assertEquals(shift.due(5 * SECOND), Optional.of(ShiftState.ROLLED_BACK));
+    }
+
+    @Test
+    public void evidenceOfPeersCounts() {
+      for (int host = 2; host <= 5; host++) {
+        TrafficShift peer = new TrafficShift(ORDER, 0);
+        answers(peer, "h" + host, "r1", "v2", 3, 2);
+        peer.evidence().forEach(shift::peerEvidence);
+      }
+      assertEquals(shift.due(5 * SECOND), Optional.of(ShiftState.ROLLED_BACK));
+    }
+
+    @Test
+    public void olderNewsOfAPeerIsIgnored() {
+      TrafficShift peer = new TrafficShift(ORDER, 0);
+      answers(peer, "h2", "r1", "v2", 1, 0);
+      TrafficShift.Evidence older = peer.evidence().get("h2");
+      answers(peer, "h2", "r1", "v2", 1, 0);
+      shift.peerEvidence("h2", peer.evidence().get("h2"));
+      shift.peerEvidence("h2", older);
+      assertEquals(shift.evidence().get("h2").answers(), 2);
+    }
+
+    @Test
+    public void goodVersionIsCompletedInTime() {
+      answers(shift, "h1", "r1", "v2", 20, 0);
+      assertEquals(shift.share(5 * SECOND), TrafficShift.FIRST_SHARE);
+      assertEquals(shift.share(13 * SECOND), TrafficShift.SECOND_SHARE);
+      assertEquals(shift.share(16 * SECOND), 1.0);
+      assertTrue(shift.due(20 * SECOND).isEmpty());
+      assertEquals(shift.due(21 * SECOND), Optional.of(ShiftState.COMPLETED));
+    }
+
+    @Test
+    public void finalStateNeverChanges() {
+      shift.stored(ShiftState.COMPLETED);
+      shift.stored(ShiftState.ROLLED_BACK);
+      assertEquals(shift.state(), ShiftState.COMPLETED);
+    }
+  }
+
+  /** Versions of sessions. */
+  public static class Sessions {
+    private TrafficShift shift;
+
+    @BeforeMethod
+    public void create() {
+      shift = new TrafficShift(ORDER, 0);
+      answers(shift, "h1", "r1", "v2", 20, 0);
+    }
+
+    @Test
+    public void sessionNeverMovesInTheFirstHalf() {
+      for (int i = 0; i < 200; i++) {
+        assertFalse(shift.toTarget("session-" + i, Optional.of("v1"), 11 * SECOND));
+      }
+    }
+
+    @Test
+    public void sessionNeverGoesBackWhileTheVersionIsGood() {
+      for (int i = 0; i < 200; i++) {
+        String session = "session-" + i;
+        boolean before = shift.toTarget(session, Optional.empty(), 5 * SECOND);
+        boolean later = shift.toTarget(session, Optional.empty(), 13 * SECOND);
+        assertTrue(!before || later);
+        assertTrue(shift.toTarget(session, Optional.of("v2"), 13 * SECOND));
+      }
+    }
+
+    @Test
+    public void hostsAgreeOnNewSessions() {
+      TrafficShift other = new TrafficShift(ORDER, SECOND);
+      for (int i = 0; i < 200; i++) {
+        String session = "session-" + i;
+        assertEquals(
+            other.toTarget(session, Optional.empty(), 6 * SECOND),
+            shift.toTarget(session, Optional.empty(), 6 * SECOND));
+      }
+    }
+
+    @Test
+    public void rolledBackVersionTakesNoSession() {
+      shift.stored(ShiftState.ROLLED_BACK);
+      assertFalse(shift.toTarget("x", Optional.of("v2"), 5 * SECOND));
+    }
+  }
+}
--- a/server/src/main/java/org/clementinequay/server/gateway/Gateway.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/Gateway.java
@@ -9,7 +9,6 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.ScheduledExecutorService;
 import java.util.random.RandomGenerator;
 import org.clementinequay.core.dispatch.RetryBudget;
 import org.clementinequay.core.dispatch.UpstreamTable;
@@ -28,9 +27,14 @@
   final RuntimeClock clock;
   final GatewayProtocol protocol;
   final UpstreamSender sender;
-  final ScheduledExecutorService timers;
+  private final Timer timer;
   final DecisionLog log;
+
+  /** Longest pause before an ejected upstream is tried again; faults of links last seconds. */
+  private static final Duration MAX_PROBE_AFTER = Duration.ofSeconds(3);
+
   final UpstreamTable health;
+  final Set<GatewayRun> active = ConcurrentHashMap.newKeySet();
   final EngineLedger engines = new EngineLedger();
   final SessionVersions sessions;
   final SlowAnswerDetector slowAnswers = new SlowAnswerDetector();
@@ -44,6 +48,12 @@
   private volatile ForwardingConfiguration configuration;
   private volatile Map<String, List<UpstreamInstance>> available = Map.of();
 
+  /** Runs tasks later. */
+  public interface Timer {
+    /** Runs a task once after a delay. */
+    void after(Duration delay, Runnable task);
+  }
+
   /**
    * Creates the shared state.
    *
@@ -56,7 +66,7 @@
       RuntimeClock clock,
       GatewayProtocol protocol,
       UpstreamSender sender,
-      ScheduledExecutorService timers,
+      Timer timer,
       DecisionLog log,
       RandomGenerator random,
       double retriesPerRequest,
@@ -66,10 +76,10 @@
     this.clock = clock;
     this.protocol = protocol;
     this.sender = sender;
-    this.timers = timers;
+    this.timer = timer;
     this.log = log;
     this.random = random;
-    this.health = new UpstreamTable(clock);
+    this.health = new UpstreamTable(clock, MAX_PROBE_AFTER);
     this.retriesPerRequest = retriesPerRequest;
     this.retryBalance = retryBalance;
     this.sessions = new SessionVersions(sessionIdleTime);
@@ -177,6 +187,6 @@
   }
 
   void schedule(Duration delay, Runnable task) {
-    timers.schedule(task, delay.toMillis(), java.util.concurrent.TimeUnit.MILLISECONDS);
+    timer.after(delay, task);
   }
 }
--- /dev/null
+++ b/server/src/main/java/org/clementinequay/server/gateway/GatewayAttempt.java
@@ -0,0 +1,382 @@
+package org.clementinequay.server.gateway;
+
+import java.io.ByteArrayOutputStream;
+import java.nio.ByteBuffer;
+import org.clementinequay.core.dispatch.CorruptStreamException;
+import org.clementinequay.core.dispatch.StallRule;
+import org.clementinequay.core.forward.UpstreamInstance;
+import org.clementinequay.core.placement.EngineLedger;
+import org.clementinequay.server.upstream.UpstreamListener;
+import org.clementinequay.server.upstream.UpstreamTransport;
+import org.eclipse.jetty.http.HttpFields;
+import org.eclipse.jetty.util.Callback;
+
+/** One send of a request to one upstream. Its state is guarded by the run. */
+final class GatewayAttempt implements UpstreamListener {
+  /** Largest body of an answer that is not a stream, in bytes. */
+  private static final int MAX_ANSWER_BYTES = 8 << 20;
+
+  /** Confidence, 0 to 100, below which the answer of a smaller model is dropped. */
+  private static final int ACCEPTED_CONFIDENCE = 50;
+
+  /** Events from which the pace of a stream is measured. */
+  private static final int EVENTS_FOR_PACE = 4;
+
+  private static final int SERVER_ERROR = 500;
+
+  private final GatewayRun run;
+  private final Gateway gateway;
+  final UpstreamInstance instance;
+  private final EngineLedger.Choice choice;
+  private final long sentNanos;
+  private final ByteArrayOutputStream collected = new ByteArrayOutputStream();
+  UpstreamTransport.Call call;
+  private AnswerHead head;
+  private long firstEventNanos;
+  private long firstEventId;
+  private boolean released;
+  boolean slow;
+  private boolean unreachable;
+  private long progressNanos;
+
+  GatewayAttempt(GatewayRun run, UpstreamInstance instance, EngineLedger.Choice choice) {
+    this.run = run;
+    this.gateway = run.gateway;
+    this.sentNanos = gateway.clock.nanoTime();
+    this.progressNanos = sentNanos;
+    this.instance = instance;
+    this.choice = choice;
+  }
+
+  void checkProgress(long nowNanos) {
+    long age = (nowNanos - sentNanos) / 1_000_000;
+    long silence = (nowNanos - progressNanos) / 1_000_000;
+    long upstreamSilence = Math.min(age, gateway.engines.silenceMillis(instance.id(), nowNanos));
+    boolean stalled =
+        StallRule.stalled(
+            run.route.kind(),
+            run.route.objectiveMillis(),
+            run.route.gapObjectiveMillis(),
+            firstEventNanos != 0,
+            silence,
+            upstreamSilence);
+    if (stalled && run.attempts < run.route.maxAttempts()) {
+      unreachable = run.route.kind().streaming();
+      drop("no progress for " + silence + " ms");
+    }
+  }
+
+  private void heard() {
+    progressNanos = gateway.clock.nanoTime();
+    gateway.engines.heard(instance.id(), progressNanos);
+  }
+
+  void release() {
+    if (!released) {
+      released = true;
+      if (relaying()) {
+        learnPace();
+      }
+      gateway.engines.finished(instance.id(), choice.workMillis());
+    }
+  }
+
+  private boolean active() {
+    return !run.settled && run.current == this;
+  }
+
+  private boolean relaying() {
+    return head != null && head.success() && run.route.kind().streaming();
+  }
+
+  @Override
+  public void headers(int status, HttpFields headers) {
+    synchronized (run) {
+      if (!active()) {
+        return;
+      }
+      heard();
+      AnswerHead answer = gateway.protocol.decodeAnswer(status, headers);
+      boolean foreign =
+          answer.requestId().isPresent()
+              ? !answer.requestId().equals(run.request.id())
+              : answer.success();
+      if (foreign) {
+        drop("answer to another request");
+        return;
+      }
+      head = answer;
+      if (relaying() && tooUnsure(answer)) {
+        run.log(
+            "larger_model",
+            "confidence",
+            answer.confidence().orElse(-1),
+            "model",
+            run.placement.model().orElse(""));
+        run.placement.useLargestModel();
+        run.tried.clear();
+        run.abandonCurrent("a larger model is asked");
+        run.attempt();
+      }
+    }
+  }
+
+  private boolean tooUnsure(AnswerHead answer) {
+    return !run.committed
+        && answer.confidence().orElse(100) < ACCEPTED_CONFIDENCE
+        && run.placement.hasLargerModel()
+        && run.attempts < run.route.maxAttempts()
+        && gateway.budget(run.service).tryRetry();
+  }
+
+  /** Closes the connection and goes on as after a failure. */
+  private void drop(String why) {
+    call.abandon(new java.io.IOException(why));
+    broken(why, true);
+  }
+
+  @Override
+  public void content(ByteBuffer bytes, Callback next) {
+    synchronized (run) {
+      if (!active() || head == null) {
+        bytes.position(bytes.limit());
+        next.succeeded();
+        return;
+      }
+      heard();
+      if (!relaying()) {
+        collect(bytes, next);
+        return;
+      }
+      try {
+        byte[] whole = run.events.feed(bytes);
+        if (whole.length == 0) {
+          next.succeeded();
+          return;
+        }
+        relay(whole, next);
+      } catch (CorruptStreamException e) {
+        next.succeeded();
+        drop(e.getMessage());
+      }
+    }
+  }
+
+  private void collect(ByteBuffer bytes, Callback next) {
+    byte[] part = new byte[bytes.remaining()];
+    bytes.get(part);
+    if (collected.size() + part.length <= MAX_ANSWER_BYTES) {
+      collected.writeBytes(part);
+    }
+    next.succeeded();
+  }
+
+  private void relay(byte[] whole, Callback next) {
+    if (firstEventNanos == 0) {
+      firstEventNanos = gateway.clock.nanoTime();
+      firstEventId = run.events.lastId();
+    }
+    if (!run.committed) {
+      run.committed = true;
+      run.log(
+          "first_event",
+          "upstream",
+          instance.id(),
+          "model",
+          run.placement.model().orElse(""),
+          "confidence",
+          head.confidence().orElse(-1),
+          "ms",
+          run.elapsedMillis());
+      run.reply.head(head.status(), head.returned());
+    }
+    run.reply.part(
+        ByteBuffer.wrap(whole),
+        Callback.from(
+            next::succeeded,
+            failure -> {
+              next.succeeded();
+              run.callerGone();
+            }));
+  }
+
+  @Override
+  public void ended() {
+    synchronized (run) {
+      if (!active()) {
+        return;
+      }
+      if (head == null) {
+        broken("no answer", true);
+      } else if (relaying()) {
+        streamEnded();
+      } else {
+        answerEnded();
+      }
+    }
+  }
+
+  private void streamEnded() {
+    if (run.events.partial() || !run.committed) {
+      broken("the stream ended inside an event", true);
+      return;
+    }
+    succeeded();
+    run.settle();
+    run.log(
+        "done",
+        "upstream",
+        instance.id(),
+        "events",
+        run.events.lastId(),
+        "ms",
+        run.elapsedMillis());
+    run.reply.end();
+  }
+
+  private void answerEnded() {
+    boolean mislaid = head.misdirected() || head.notRun();
+    if (mislaid) {
+      rejected();
+    } else if (head.success()) {
+      succeeded();
+      run.settle();
+      run.log(
+          "done", "upstream", instance.id(), "status", head.status(), "ms", run.elapsedMillis());
+      run.reply.whole(head.status(), head.returned(), collected.toByteArray());
+    } else if (head.status() >= SERVER_ERROR) {
+      serverFailed();
+    } else {
+      succeeded();
+      run.settle();
+      run.log(
+          "done", "upstream", instance.id(), "status", head.status(), "ms", run.elapsedMillis());
+      run.reply.whole(head.status(), head.returned(), collected.toByteArray());
+    }
+  }
+
+  private void rejected() {
+    run.current = null;
+    release();
+    gateway.health.abandoned(instance.id());
+    run.log("rejected", "upstream", instance.id(), "status", head.status());
+    run.again(false, "the upstreams are full");
+  }
+
+  private void serverFailed() {
+    run.current = null;
+    release();
+    run.mayHaveRun = true;
+    gateway.health.succeeded(instance.id());
+    observe(true);
+    run.placement.failed(instance);
+    run.log("upstream_failed", "upstream", instance.id(), "status", head.status());
+    boolean more =
+        run.route.kind().repeatable()
+            && !run.committed
+            && run.attempts < run.route.maxAttempts()
+            && run.remainingMillis() >= GatewayRun.SHORTEST_ATTEMPT_MILLIS
+            && gateway.budget(run.service).tryRetry();
+    if (more) {
+      run.attempt();
+      return;
+    }
+    if (run.committed) {
+      run.fail(GatewayRun.BAD_GATEWAY, "the upstream failed");
+      return;
+    }
+    run.settle();
+    if (head.status() == GatewayRun.UNAVAILABLE) {
+      // Without the statement that it has not run, 503 would be a promise that may not hold.
+      run.reply.whole(
+          GatewayRun.BAD_GATEWAY,
+          Refusals.headers(GatewayRun.BAD_GATEWAY, 0),
+          GatewayRun.text("the upstream failed"));
+    } else {
+      run.reply.whole(head.status(), head.returned(), collected.toByteArray());
+    }
+  }
+
+  private void succeeded() {
+    run.current = null;
+    release();
+    run.mayHaveRun = true;
+    run.rememberVersion(instance);
+    gateway.health.succeeded(instance.id());
+    observe(false);
+  }
+
+  /** Learns how fast the engine is, also from a stream that was broken off. */
+  private void learnPace() {
+    long generated = run.events.lastId() - firstEventId;
+    long nanos = gateway.clock.nanoTime() - firstEventNanos;
+    if (firstEventNanos == 0 || generated <= EVENTS_FOR_PACE) {
+      return;
+    }
+    double pace =
+        nanos / 1e6 / (generated * run.placement.tokensPerEvent()) / run.placement.weight();
+    gateway.engines.paced(instance.id(), pace);
+    slow = gateway.slowAnswers.slow(run.service, pace, !ofTarget());
+  }
+
+  private boolean ofTarget() {
+    return gateway
+        .shift(run.service)
+        .map(shift -> shift.order().target().equals(instance.version()))
+        .orElse(false);
+  }
+
+  void observe(boolean failure) {
+    if (!run.route.kind().streaming() && !failure) {
+      double millis = (gateway.clock.nanoTime() - sentNanos) / 1e6;
+      slow = gateway.slowAnswers.slow(run.route.name(), millis, !ofTarget());
+    }
+    gateway
+        .shift(run.service)
+        .ifPresent(
+            shift ->
+                shift.answered(
+                    gateway.hostName, run.route.name(), instance.version(), failure, slow));
+  }
+
+  @Override
+  public void failed(Throwable cause, boolean offered) {
+    synchronized (run) {
+      if (!active()) {
+        return;
+      }
+      broken(Failures.summary(cause), offered);
+    }
+  }
+
+  private void broken(String why, boolean offered) {
+    run.current = null;
+    release();
+    run.mayHaveRun |= offered;
+    if (!offered) {
+      run.attempts--;
+    }
+    boolean ejected =
+        unreachable || !offered
+            ? gateway.health.unreachable(instance.id())
+            : gateway.health.failed(instance.id());
+    if (offered) {
+      observe(true);
+      run.placement.failed(instance);
+    }
+    run.log(
+        "broken",
+        "upstream",
+        instance.id(),
+        "reason",
+        why,
+        "offered",
+        offered,
+        "ejected",
+        ejected,
+        "age_ms",
+        (gateway.clock.nanoTime() - sentNanos) / 1_000_000);
+    run.events.discardPartial();
+    run.again(offered, "the upstream did not answer whole");
+  }
+}
--- a/server/src/main/java/org/clementinequay/server/gateway/GatewayHost.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/GatewayHost.java
@@ -10,6 +10,7 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
 import org.clementinequay.core.Incarnation;
 import org.clementinequay.core.platform.HostEntry;
 import org.clementinequay.core.time.RuntimeClock;
@@ -87,7 +88,7 @@
             clock,
             protocol,
             new JettySender(client, onceClient),
-            timers,
+            (delay, task) -> timers.schedule(task, delay.toMillis(), TimeUnit.MILLISECONDS),
             log,
             new SplittableRandom(),
             settings.retriesPerRequest() * RETRY_SHARE,
@@ -100,6 +101,7 @@
     this.readyServer = GatewayHttp.server("ready", settings.ready(), ready, false);
     duty("operator", new OperatorDuty(gateway, platform)::step);
     duty("instances", new InstanceDuty(gateway, platform)::step);
+    duty("watch", new WatchDuty(gateway)::step);
     this.peers = network(registry);
     ShiftGossip gossip = new ShiftGossip(gateway, peers);
     duty("rollouts", new ShiftDuty(gateway, platform, gossip)::step);
--- /dev/null
+++ b/server/src/test/java/org/clementinequay/server/gateway/GatewayFixture.java
@@ -0,0 +1,246 @@
+package org.clementinequay.server.gateway;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.OptionalLong;
+import java.util.SplittableRandom;
+import org.clementinequay.core.forward.CallerLimits;
+import org.clementinequay.core.forward.EngineProfile;
+import org.clementinequay.core.forward.ForwardingConfiguration;
+import org.clementinequay.core.forward.RequestKind;
+import org.clementinequay.core.forward.Route;
+import org.clementinequay.core.forward.RouteTable;
+import org.clementinequay.core.forward.ServiceProfile;
+import org.clementinequay.core.forward.UpstreamInstance;
+import org.clementinequay.core.time.ManualClock;
+import org.clementinequay.server.upstream.UpstreamListener;
+import org.clementinequay.server.upstream.UpstreamTransport;
+import org.eclipse.jetty.http.HttpFields;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.util.Callback;
+
+/** A gateway whose upstreams, timers and callers are played by the test. */
+final class GatewayFixture {
+  static final String REQUEST_ID = "r-1";
+
+  final ManualClock clock = new ManualClock(Instant.EPOCH);
+  final List<Sent> sent = new ArrayList<>();
+  final List<Runnable> timers = new ArrayList<>();
+  final List<String> log = new ArrayList<>();
+  final Reply reply = new Reply();
+  final Gateway gateway =
+      new Gateway(
+          "h1",
+          clock,
+          new Protocol(),
+          this::send,
+          (delay, task) -> timers.add(task),
+          (event, fields) -> log.add(event),
+          new SplittableRandom(7),
+          0.5,
+          10,
+          Duration.ofSeconds(5));
+  boolean ended;
+
+  GatewayFixture() {
+    EngineProfile engine =
+        new EngineProfile(
+            8,
+            1000,
+            1,
+            List.of(new EngineProfile.Model("small", 0.01), new EngineProfile.Model("large", 1)));
+    gateway.configure(
+        new ForwardingConfiguration(
+            1,
+            new RouteTable(List.of()),
+            List.of(new ServiceProfile("s", 10, Optional.of(engine))),
+            Optional.empty(),
+            new CallerLimits(1000, 1000, 1000, 1000)));
+    gateway.listed(List.of(instance("a"), instance("b"), instance("c")));
+  }
+
+  static UpstreamInstance instance(String id) {
+    return new UpstreamInstance(id, "s", "10.0.0.1:1", "d", "v1", 8, false, 1);
+  }
+
+  GatewayRun run(RequestKind kind, List<String> sizes) {
+    Route route =
+        Route.builder("route")
+            .kind(kind)
+            .timeoutMillis(10_000)
+            .objectiveMillis(1000)
+            .gapObjectiveMillis(1000)
+            .maxAttempts(3)
+            .targets(List.of(new Route.WeightedTarget("s", 1)))
+            .modelSizes(sizes)
+            .build();
+    GatewayRequest request =
+        new GatewayRequest(
+            Optional.of(REQUEST_ID),
+            "POST",
+            "h",
+            "/x/",
+            "/x/",
+            Optional.empty(),
+            OptionalLong.of(5000),
+            OptionalLong.empty(),
+            Optional.empty(),
+            10,
+            10,
+            OptionalInt.empty(),
+            List.of(),
+            HttpFields.EMPTY);
+    GatewayRun run =
+        new GatewayRun(
+            gateway,
+            request,
+            route,
+            Optional.empty(),
+            new byte[0],
+            reply,
+            clock.nanoTime(),
+            () -> ended = true);
+    run.start();
+    return run;
+  }
+
+  Sent last() {
+    return sent.get(sent.size() - 1);
+  }
+
+  private UpstreamTransport.Call send(
+      String address,
+      String method,
+      String pathQuery,
+      HttpFields headers,
+      byte[] body,
+      boolean once,
+      long silenceMillis,
+      UpstreamListener listener) {
+    Sent call = new Sent(headers, listener);
+    sent.add(call);
+    return call;
+  }
+
+  /** One attempt at an upstream. */
+  static final class Sent implements UpstreamTransport.Call {
+    final HttpFields headers;
+    private final UpstreamListener listener;
+    boolean abandoned;
+
+    private Sent(HttpFields headers, UpstreamListener listener) {
+      this.headers = headers;
+      this.listener = listener;
+    }
+
+    void answer(int status, HttpFields fields, String body) {
+      listener.headers(status, fields);
+      content(body);
+      listener.ended();
+    }
+
+    void head(int status) {
+      listener.headers(status, own());
+    }
+
+    void head(int status, String confidence) {
+      listener.headers(status, HttpFields.build(own()).put("confidence", confidence));
+    }
+
+    void content(String body) {
+      listener.content(ByteBuffer.wrap(body.getBytes(StandardCharsets.UTF_8)), Callback.NOOP);
+    }
+
+    void end() {
+      listener.ended();
+    }
+
+    void fail(boolean offered) {
+      listener.failed(new java.io.IOException("reset"), offered);
+    }
+
+    @Override
+    public void start() {}
+
+    @Override
+    public void abandon(Throwable cause) {
+      abandoned = true;
+    }
+  }
+
+  static HttpFields own() {
+    return HttpFields.build().put("id", REQUEST_ID);
+  }
+
+  /** What the caller received. */
+  static final class Reply implements CallerReply {
+    int status;
+    HttpFields headers = HttpFields.EMPTY;
+    final StringBuilder body = new StringBuilder();
+    boolean whole;
+    boolean aborted;
+
+    @Override
+    public void whole(int newStatus, HttpFields newHeaders, byte[] bytes) {
+      head(newStatus, newHeaders);
+      body.append(new String(bytes, StandardCharsets.UTF_8));
+      whole = true;
+    }
+
+    @Override
+    public void head(int newStatus, HttpFields newHeaders) {
+      status = newStatus;
+      headers = newHeaders;
+    }
+
+    @Override
+    public void part(ByteBuffer bytes, Callback sentCallback) {
+      body.append(StandardCharsets.UTF_8.decode(bytes));
+      sentCallback.succeeded();
+    }
+
+    @Override
+    public void end() {
+      whole = true;
+    }
+
+    @Override
+    public void abort(String reason) {
+      aborted = true;
+    }
+  }
+
+  private static final class Protocol implements GatewayProtocol {
+    @Override
+    public GatewayRequest decode(Request request) {
+      throw new UnsupportedOperationException();
+    }
+
+    @Override
+    public HttpFields attemptHeaders(GatewayRequest request, AttemptHead head) {
+      HttpFields.Mutable fields = HttpFields.build().put("instance", head.instance());
+      head.model().ifPresent(model -> fields.put("model", model));
+      head.lastEventId().ifPresent(id -> fields.put("last", Long.toString(id)));
+      return fields;
+    }
+
+    @Override
+    public AnswerHead decodeAnswer(int status, HttpFields headers) {
+      String confidence = headers.get("confidence");
+      return new AnswerHead(
+          status,
+          Optional.ofNullable(headers.get("id")),
+          headers.contains("not-run"),
+          status == 421,
+          true,
+          confidence == null ? OptionalInt.empty() : OptionalInt.of(Integer.parseInt(confidence)),
+          headers);
+    }
+  }
+}
--- /dev/null
+++ b/server/src/test/java/org/clementinequay/server/gateway/GatewayRunTest.java
@@ -0,0 +1,208 @@
+package org.clementinequay.server.gateway;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertNotEquals;
+import static org.testng.Assert.assertNotNull;
+import static org.testng.Assert.assertNull;
+import static org.testng.Assert.assertTrue;
+
+import java.time.Duration;
+import java.util.List;
+import org.clementinequay.core.forward.RequestKind;
+import org.eclipse.jetty.http.HttpFields;
+import org.eclipse.jetty.http.HttpHeader;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Guards against repeated, false, mixed and lost answers. */
+public class GatewayRunTest {
+  private static final List<String> CALLER_NAMES_MODEL = List.of();
+  private static final HttpFields NOT_RUN =
+      HttpFields.build(GatewayFixture.own()).put("not-run", "1");
+
+  private static String event(int id) {
+    return "id: " + id + "\ndata: x\n\n";
+  }
+
+  /** Calls that may run once. */
+  public static class AtMostOnce {
+    private GatewayFixture fixture;
+
+    @BeforeMethod
+    public void start() {
+      fixture = new GatewayFixture();
+      fixture.run(RequestKind.AT_MOST_ONCE, CALLER_NAMES_MODEL);
+    }
+
+    @Test
+    public void lostAnswerIsNotRepeatedAndPromisesNothing() {
+      fixture.last().fail(true);
+      assertEquals(fixture.sent.size(), 1);
+      assertEquals(fixture.reply.status, 502);
+      assertNull(fixture.reply.headers.get(HttpHeader.RETRY_AFTER));
+      assertTrue(fixture.ended);
+    }
+
+    @Test
+    public void unreachableUpstreamIsReplaced() {
+      fixture.last().fail(false);
+      assertEquals(fixture.sent.size(), 2);
+      fixture.last().answer(200, GatewayFixture.own(), "ok");
+      assertEquals(fixture.reply.body.toString(), "ok");
+    }
+
+    @Test
+    public void rejectionByAllIsARefusalWithATimeToComeBack() {
+      for (int i = 0; i < 3; i++) {
+        fixture.last().answer(503, NOT_RUN, "");
+      }
+      assertEquals(fixture.sent.size(), 3);
+      assertEquals(fixture.reply.status, 503);
+      assertNotNull(fixture.reply.headers.get(HttpHeader.RETRY_AFTER));
+    }
+
+    @Test
+    public void unavailableWithoutStatementIsNoPromise() {
+      fixture.last().answer(503, GatewayFixture.own(), "");
+      assertEquals(fixture.reply.status, 502);
+    }
+
+    @Test
+    public void rejectionAfterALostAnswerIsNoPromise() {
+      fixture.last().answer(503, NOT_RUN, "");
+      fixture.last().fail(true);
+      assertEquals(fixture.reply.status, 502);
+    }
+
+    @Test
+    public void answerToAnotherRequestIsNotPassedOn() {
+      fixture.last().answer(200, HttpFields.build().put("id", "r-0"), "theirs");
+      assertEquals(fixture.reply.status, 502);
+      assertFalse(fixture.reply.body.toString().contains("theirs"));
+      assertTrue(fixture.last().abandoned);
+    }
+
+    @Test
+    public void timeLimitEndsTheRequest() {
+      fixture.clock.advance(Duration.ofSeconds(5));
+      fixture.timers.forEach(Runnable::run);
+      assertEquals(fixture.reply.status, 504);
+      assertTrue(fixture.last().abandoned);
+    }
+  }
+
+  /** Calls that may be repeated. */
+  public static class Idempotent {
+    private GatewayFixture fixture;
+    private GatewayRun run;
+
+    @BeforeMethod
+    public void start() {
+      fixture = new GatewayFixture();
+      run = fixture.run(RequestKind.IDEMPOTENT, CALLER_NAMES_MODEL);
+    }
+
+    @Test
+    public void failureIsRepeatedOnAnotherUpstream() {
+      fixture.last().answer(500, GatewayFixture.own(), "bad");
+      assertEquals(fixture.sent.size(), 2);
+      assertNotEquals(
+          fixture.sent.get(0).headers.get("instance"), fixture.last().headers.get("instance"));
+      fixture.last().answer(200, GatewayFixture.own(), "ok");
+      assertEquals(fixture.reply.status, 200);
+    }
+
+    @Test
+    public void lastFailureIsPassedOnUnchanged() {
+      for (int i = 0; i < 3; i++) {
+        fixture.last().answer(500, GatewayFixture.own(), "bad");
+      }
+      assertEquals(fixture.sent.size(), 3);
+      assertEquals(fixture.reply.status, 500);
+      assertEquals(fixture.reply.body.toString(), "bad");
+    }
+
+    @Test
+    public void silentUpstreamIsLeft() {
+      fixture.clock.advance(Duration.ofMillis(2100));
+      run.checkProgress(fixture.clock.nanoTime());
+      assertTrue(fixture.sent.get(0).abandoned);
+      assertEquals(fixture.sent.size(), 2);
+    }
+
+    @Test
+    public void callerThatLeftEndsTheWork() {
+      run.callerGone();
+      assertTrue(fixture.last().abandoned);
+      fixture.last().answer(200, GatewayFixture.own(), "ok");
+      assertFalse(fixture.reply.whole);
+    }
+  }
+
+  /** Streams of events. */
+  public static class Streams {
+    private GatewayFixture fixture;
+
+    @BeforeMethod
+    public void start() {
+      fixture = new GatewayFixture();
+    }
+
+    @Test
+    public void brokenStreamGoesOnAfterTheLastWholeEvent() {
+      fixture.run(RequestKind.RESUMABLE_STREAM, CALLER_NAMES_MODEL);
+      fixture.last().head(200);
+      fixture.last().content(event(1) + event(2) + "id: 3\nda");
+      fixture.last().fail(true);
+      assertEquals(fixture.last().headers.get("last"), "2");
+      fixture.last().head(200);
+      fixture.last().content(event(3));
+      fixture.last().end();
+      assertEquals(fixture.reply.body.toString(), event(1) + event(2) + event(3));
+      assertTrue(fixture.reply.whole);
+    }
+
+    @Test
+    public void streamThatRunsOnceIsCutVisibly() {
+      fixture.run(RequestKind.STREAM, CALLER_NAMES_MODEL);
+      fixture.last().head(200);
+      fixture.last().content(event(1));
+      fixture.last().fail(true);
+      assertEquals(fixture.sent.size(), 1);
+      assertTrue(fixture.reply.aborted);
+      assertFalse(fixture.reply.whole);
+    }
+
+    @Test
+    public void streamThatEndsInsideAnEventIsNotComplete() {
+      fixture.run(RequestKind.RESUMABLE_STREAM, CALLER_NAMES_MODEL);
+      fixture.last().head(200);
+      fixture.last().content(event(1) + "id: 2");
+      fixture.last().end();
+      assertFalse(fixture.reply.whole);
+      assertEquals(fixture.sent.size(), 2);
+    }
+
+    @Test
+    public void unsureAnswerIsReplacedByTheLargestModelBeforeAnyByte() {
+      fixture.run(RequestKind.RESUMABLE_STREAM, List.of("small", "large"));
+      assertEquals(fixture.last().headers.get("model"), "small");
+      fixture.last().head(200, "10");
+      assertTrue(fixture.sent.get(0).abandoned);
+      assertEquals(fixture.last().headers.get("model"), "large");
+      assertEquals(fixture.reply.status, 0);
+      fixture.last().head(200, "10");
+      fixture.last().content(event(1));
+      assertEquals(fixture.reply.body.toString(), event(1));
+    }
+
+    @Test
+    public void sureAnswerIsKept() {
+      fixture.run(RequestKind.RESUMABLE_STREAM, List.of("small", "large"));
+      fixture.last().head(200, "90");
+      fixture.last().content(event(1));
+      assertEquals(fixture.sent.size(), 1);
+    }
+  }
+}
