Tell a reset upstream connection from its end

Ruled out: treating every answer without a length as broken, which would lose whole ones. Change: the endpoint of upstream connections passes the reset on.

--- a/server/src/main/java/org/clementinequay/server/gateway/GatewayHttp.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/GatewayHttp.java
@@ -61,7 +61,7 @@
   }
 
   static HttpClient client(String name) {
-    ClientConnector connector = new ClientConnector();
+    ClientConnector connector = new ResetAwareConnector();
     connector.setSelectors(1);
     QueuedThreadPool threads = new QueuedThreadPool(CLIENT_THREADS, 3);
     threads.setName(name);
