--- a/server/src/main/java/org/clementinequay/server/gateway/Gateway.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/Gateway.java
@@ -29,6 +29,7 @@
   final UpstreamSender sender;
   private final Timer timer;
   final DecisionLog log;
+  final RequestObserver observer;
 
   /** Longest pause before an ejected upstream is tried again; faults of links last seconds. */
   private static final Duration MAX_PROBE_AFTER = Duration.ofSeconds(3);
@@ -68,6 +69,7 @@
       UpstreamSender sender,
       Timer timer,
       DecisionLog log,
+      RequestObserver observer,
       RandomGenerator random,
       double retriesPerRequest,
       double retryBalance,
@@ -78,6 +80,7 @@
     this.sender = sender;
     this.timer = timer;
     this.log = log;
+    this.observer = observer;
     this.random = random;
     this.health = new UpstreamTable(clock, MAX_PROBE_AFTER);
     this.retriesPerRequest = retriesPerRequest;
--- a/server/src/main/java/org/clementinequay/server/gateway/GatewayAttempt.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/GatewayAttempt.java
@@ -178,6 +178,7 @@
     }
     if (!run.committed) {
       run.committed = true;
+      run.firstEventNanos = firstEventNanos;
       run.log(
           "first_event",
           "upstream",
@@ -222,7 +223,7 @@
       return;
     }
     succeeded();
-    run.settle();
+    run.settle(head.status(), "none");
     run.log(
         "done",
         "upstream",
@@ -240,7 +241,7 @@
       rejected();
     } else if (head.success()) {
       succeeded();
-      run.settle();
+      run.settle(head.status(), "none");
       run.log(
           "done", "upstream", instance.id(), "status", head.status(), "ms", run.elapsedMillis());
       run.reply.whole(head.status(), head.returned(), collected.toByteArray());
@@ -248,7 +249,7 @@
       serverFailed();
     } else {
       succeeded();
-      run.settle();
+      run.settle(head.status(), "none");
       run.log(
           "done", "upstream", instance.id(), "status", head.status(), "ms", run.elapsedMillis());
       run.reply.whole(head.status(), head.returned(), collected.toByteArray());
@@ -285,7 +286,7 @@
       run.fail(GatewayRun.BAD_GATEWAY, "the upstream failed");
       return;
     }
-    run.settle();
+    run.settle(head.status(), "upstream failed");
     if (head.status() == GatewayRun.UNAVAILABLE) {
       // Without the statement that it has not run, 503 would be a promise that may not hold.
       run.reply.whole(
--- a/server/src/main/java/org/clementinequay/server/gateway/GatewayHandler.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/GatewayHandler.java
@@ -8,6 +8,7 @@
 import org.clementinequay.core.forward.AccountKeys;
 import org.clementinequay.core.forward.ForwardingConfiguration;
 import org.clementinequay.core.forward.Route;
+import org.eclipse.jetty.http.HttpField;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.http.HttpStatus;
@@ -154,7 +155,7 @@
     @Override
     public void whole(int status, HttpFields headers, byte[] body) {
       if (done.compareAndSet(false, true)) {
-        head(status, headers);
+        status(status, headers);
         response.getHeaders().put(HttpHeader.CONTENT_LENGTH, body.length);
         response.write(true, ByteBuffer.wrap(body), callback);
       }
@@ -162,8 +163,15 @@
 
     @Override
     public void head(int status, HttpFields headers) {
+      status(status, headers);
+      // Without chunks, which Jetty leaves out on a connection that will close, a cut answer would
+      // look complete.
+      response.getHeaders().put(HttpHeader.TRANSFER_ENCODING, "chunked");
+    }
+
+    private void status(int status, HttpFields headers) {
       response.setStatus(status);
-      for (org.eclipse.jetty.http.HttpField field : headers) {
+      for (HttpField field : headers) {
         response.getHeaders().add(field);
       }
       if (leaving) {
--- a/server/src/main/java/org/clementinequay/server/gateway/GatewayHost.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/GatewayHost.java
@@ -14,6 +14,7 @@
 import org.clementinequay.core.Incarnation;
 import org.clementinequay.core.platform.HostEntry;
 import org.clementinequay.core.time.RuntimeClock;
+import org.clementinequay.server.metrics.RouterMetrics;
 import org.clementinequay.server.peer.PeerIdentity;
 import org.clementinequay.server.peer.PeerTimings;
 import org.clementinequay.server.peer.TcpPeerNetwork;
@@ -54,6 +55,7 @@
   private final GatewaySettings settings;
   private final RuntimeClock clock;
   private final LineLog log;
+  private final RouterMetrics metrics = new RouterMetrics();
   private final ScheduledExecutorService timers = Executors.newSingleThreadScheduledExecutor();
   private final HttpClient client = GatewayHttp.client("upstreams");
   private final HttpClient onceClient = GatewayHttp.client("upstreams-once");
@@ -90,15 +92,27 @@
             new JettySender(client, onceClient),
             (delay, task) -> timers.schedule(task, delay.toMillis(), TimeUnit.MILLISECONDS),
             log,
+            metrics::routed,
             new SplittableRandom(),
             settings.retriesPerRequest() * RETRY_SHARE,
             settings.retryBurst() * RETRY_SHARE / ASSUMED_HOSTS,
             Duration.ofMillis((long) (settings.sessionSeconds() * 1000)));
     this.handler = new GatewayHandler(gateway);
-    this.ready = new ReadyHandler(gateway);
+    this.ready = new ReadyHandler(gateway, metrics::scrape);
     this.server = GatewayHttp.server("callers", settings.callers(), handler, true);
     this.connector = (CallerConnector) server.getConnectors()[0];
     this.readyServer = GatewayHttp.server("ready", settings.ready(), ready, false);
+    if (settings.metrics() > 0) {
+      String host = settings.ready().substring(0, settings.ready().lastIndexOf(':'));
+      GatewayHttp.listen(readyServer, host, settings.metrics());
+    }
+    metrics.gauge("clementinequay_open_requests", handler::openRequests);
+    metrics.gauge("clementinequay_log_dropped", log::dropped);
+    metrics.gauge(
+        "clementinequay_configuration_version",
+        () -> gateway.configuration().map(c -> (double) c.version()).orElse(0.0));
+    metrics.gauge(
+        "clementinequay_upstream_list_age_seconds", () -> gateway.directoryAgeNanos() / 1e9);
     duty("operator", new OperatorDuty(gateway, platform)::step);
     duty("instances", new InstanceDuty(gateway, platform)::step);
     duty("watch", new WatchDuty(gateway)::step);
--- a/server/src/main/java/org/clementinequay/server/gateway/GatewayHttp.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/GatewayHttp.java
@@ -60,6 +60,15 @@
     return server;
   }
 
+  /** Adds a plain listener to a server. */
+  static void listen(Server server, String host, int port) {
+    ServerConnector connector = new ServerConnector(server, null, null, null, 1, 1);
+    connector.setHost(host);
+    connector.setPort(port);
+    connector.setIdleTimeout(CALLER_IDLE_MILLIS);
+    server.addConnector(connector);
+  }
+
   static HttpClient client(String name) {
     ClientConnector connector = new ResetAwareConnector();
     connector.setSelectors(1);
--- a/server/src/main/java/org/clementinequay/server/gateway/GatewayRun.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/GatewayRun.java
@@ -48,6 +48,7 @@
   int attempts;
   boolean mayHaveRun;
   boolean committed;
+  long firstEventNanos;
   boolean settled;
 
   GatewayRun(
@@ -88,7 +89,7 @@
       return;
     }
     log("caller_gone", "attempts", attempts);
-    settle();
+    settle(0, "caller left");
     abandonCurrent("the caller left");
     reply.abort("the caller left");
   }
@@ -227,7 +228,7 @@
         mayHaveRun,
         "ms",
         elapsedMillis());
-    settle();
+    settle(committed ? 0 : status, why);
     if (committed) {
       reply.abort(why);
       return;
@@ -239,8 +240,15 @@
     return (why + "\n").getBytes(StandardCharsets.UTF_8);
   }
 
-  void settle() {
+  void settle(int status, String reason) {
     settled = true;
+    gateway.observer.finished(
+        account.map(AccountKeys::name).orElse(""),
+        route.name(),
+        status,
+        reason,
+        firstEventNanos == 0 ? 0 : firstEventNanos - receivedNanos,
+        gateway.clock.nanoTime() - receivedNanos);
     gateway.active.remove(this);
     ended.run();
   }
--- a/server/src/main/java/org/clementinequay/server/gateway/ReadyHandler.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/ReadyHandler.java
@@ -1,18 +1,29 @@
 package org.clementinequay.server.gateway;
 
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.function.Supplier;
+import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.server.Handler;
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.util.Callback;
 
-/** Answers the balancer's readiness check: ready once a configuration and upstreams are known. */
+/**
+ * Answers the balancer's readiness check: ready once a configuration and upstreams are known. Also
+ * serves the metrics, so that neither waits behind requests of callers.
+ */
 final class ReadyHandler extends Handler.Abstract {
+  static final String METRICS_PATH = "/metrics";
+
   private final Gateway gateway;
+  private final Supplier<String> metrics;
   private volatile boolean leaving;
 
-  ReadyHandler(Gateway gateway) {
+  ReadyHandler(Gateway gateway, Supplier<String> metrics) {
     this.gateway = gateway;
+    this.metrics = metrics;
   }
 
   void leave() {
@@ -21,6 +32,12 @@
 
   @Override
   public boolean handle(Request request, Response response, Callback callback) {
+    if (Request.getPathInContext(request).equals(METRICS_PATH)) {
+      response.getHeaders().put(HttpHeader.CONTENT_TYPE, "text/plain; version=0.0.4");
+      response.write(
+          true, ByteBuffer.wrap(metrics.get().getBytes(StandardCharsets.UTF_8)), callback);
+      return true;
+    }
     boolean ready =
         !leaving && gateway.configuration().isPresent() && gateway.directoryAgeNanos() >= 0;
     response.setStatus(ready ? HttpStatus.OK_200 : HttpStatus.SERVICE_UNAVAILABLE_503);
--- a/server/src/main/java/org/clementinequay/server/metrics/RouterMetrics.java
+++ b/server/src/main/java/org/clementinequay/server/metrics/RouterMetrics.java
@@ -49,6 +49,26 @@
         .increment();
   }
 
+  /**
+   * Records a finished request of a route.
+   *
+   * @param status HTTP status, or 0 if the connection was closed without a whole answer
+   * @param firstNanos time to the first event, or 0 if there was none
+   */
+  public void routed(
+      String account, String route, int status, String reason, long firstNanos, long totalNanos) {
+    Meters found = meters(new Labels(account, route));
+    found.total.record(totalNanos, TimeUnit.NANOSECONDS);
+    if (firstNanos > 0) {
+      found.firstToken.record(firstNanos, TimeUnit.NANOSECONDS);
+    }
+    registry
+        .counter(
+            "clementinequay_routed_total",
+            Tags.of("status", Integer.toString(status), "reason", reason))
+        .increment();
+  }
+
   /** Records the time between two parts of a stream. */
   public void gap(Exchange exchange, long nanos) {
     meters(new Labels(exchange.account().name(), exchange.className()))
--- a/server/src/test/java/org/clementinequay/server/gateway/GatewayFixture.java
+++ b/server/src/test/java/org/clementinequay/server/gateway/GatewayFixture.java
@@ -33,6 +33,7 @@
   final List<Sent> sent = new ArrayList<>();
   final List<Runnable> timers = new ArrayList<>();
   final List<String> log = new ArrayList<>();
+  final List<Integer> finished = new ArrayList<>();
   final Reply reply = new Reply();
   final Gateway gateway =
       new Gateway(
@@ -42,6 +43,7 @@
           this::send,
           (delay, task) -> timers.add(task),
           (event, fields) -> log.add(event),
+          (account, route, status, reason, first, total) -> finished.add(status),
           new SplittableRandom(7),
           0.5,
           10,
