--- a/server/src/main/java/org/clementinequay/server/gateway/GatewayHttp.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/GatewayHttp.java
@@ -62,7 +62,8 @@
 
   /** Adds a plain listener to a server. */
   static void listen(Server server, String host, int port) {
-    ServerConnector connector = new ServerConnector(server, null, null, null, 1, 1);
+    ServerConnector connector =
+        new ServerConnector(server, null, null, null, 1, 1, new HttpConnectionFactory());
     connector.setHost(host);
     connector.setPort(port);
     connector.setIdleTimeout(CALLER_IDLE_MILLIS);
