Move stalled streams only where another upstream can take them

Change: a move needs a candidate and budget first; estimates bound the wait for the first event; broken connections are no evidence on a version; 421 is no attempt; ejected upstreams of the own domain are used when no other is left; repeats are bounded in a sliding window instead of a bucket of five.

--- a/core/src/main/java/org/clementinequay/core/dispatch/RetryBudget.java
+++ b/core/src/main/java/org/clementinequay/core/dispatch/RetryBudget.java
@@ -11,30 +11,11 @@
   /** Retries allowed without traffic, so that a quiet host can retry at all. */
   public static final double MAX_BALANCE = 10;
 
-  private final double retriesPerRequest;
-  private final double maxBalance;
-  private double balance;
-
-  /** Creates a budget with the default share and balance. */
-  public RetryBudget() {
-    this(RETRIES_PER_REQUEST, MAX_BALANCE);
-  }
-
-  /**
-   * Creates a budget.
-   *
-   * @param retriesPerRequest retries allowed for each request, in the long run
-   * @param maxBalance retries allowed without traffic
-   */
-  public RetryBudget(double retriesPerRequest, double maxBalance) {
-    this.retriesPerRequest = retriesPerRequest;
-    this.maxBalance = maxBalance;
-    this.balance = maxBalance;
-  }
+  private double balance = MAX_BALANCE;
 
   /** Counts a request. */
   public synchronized void recordRequest() {
-    balance = Math.min(maxBalance, balance + retriesPerRequest);
+    balance = Math.min(MAX_BALANCE, balance + RETRIES_PER_REQUEST);
   }
 
   /** Takes one retry; returns false if the budget is exhausted. */
--- a/core/src/main/java/org/clementinequay/core/dispatch/StallRule.java
+++ b/core/src/main/java/org/clementinequay/core/dispatch/StallRule.java
@@ -12,11 +12,23 @@
   /** Part of the objective for the first event after which a silent engine is given up. */
   static final double FIRST_EVENT_PART = 0.35;
 
+  /** The same where the estimate says that the engine needs longer. */
+  static final double LATEST_FIRST_EVENT_PART = 0.8;
+
+  /** Factor on the estimated time to the first event, which is off by a factor of two at times. */
+  static final double ESTIMATE_FACTOR = 2;
+
   /** Part of the objective for pauses after which a stream from a silent engine moves. */
   static final double PAUSE_PART = 0.55;
 
   /** Part of the objective for pauses for which the engine must have been silent to all. */
-  static final double SILENCE_PART = 0.4;
+  static final double SILENCE_PART = 0.45;
+
+  /**
+   * Part of the objective for pauses where this is the host's only stream there. An engine that
+   * reads long prompts pauses each of its streams for half a second, but not all at once.
+   */
+  static final double ONLY_STREAM_PART = 0.95;
 
   /** Times the objective after which an idempotent call is repeated elsewhere. */
   static final double CALL_OBJECTIVES = 2;
@@ -37,6 +49,8 @@
    * @param objectiveMillis objective for the answer or the first event; 0 if there is none
    * @param pauseObjectiveMillis objective for pauses between events; 0 if there is none
    * @param started whether events were received
+   * @param expectedFirstMillis estimated time to the first event when the attempt was sent
+   * @param othersThere whether this host has other attempts at the upstream
    * @param attemptSilenceMillis time since the attempt was sent or received its last event
    * @param upstreamSilenceMillis time since this host heard anything from the upstream, but not
    *     more than the age of the attempt
@@ -46,6 +60,8 @@
       long objectiveMillis,
       long pauseObjectiveMillis,
       boolean started,
+      double expectedFirstMillis,
+      boolean othersThere,
       long attemptSilenceMillis,
       long upstreamSilenceMillis) {
     if (!kind.repeatable()) {
@@ -57,10 +73,14 @@
     }
     if (!started) {
       long objective = objectiveMillis > 0 ? objectiveMillis : DEFAULT_FIRST_EVENT_MILLIS;
-      return Math.min(attemptSilenceMillis, upstreamSilenceMillis) >= FIRST_EVENT_PART * objective;
+      double bound =
+          Math.min(
+              LATEST_FIRST_EVENT_PART * objective,
+              Math.max(FIRST_EVENT_PART * objective, ESTIMATE_FACTOR * expectedFirstMillis));
+      return Math.min(attemptSilenceMillis, upstreamSilenceMillis) >= bound;
     }
     long pause = pauseObjectiveMillis > 0 ? pauseObjectiveMillis : DEFAULT_PAUSE_MILLIS;
-    return attemptSilenceMillis >= PAUSE_PART * pause
-        && upstreamSilenceMillis >= SILENCE_PART * pause;
+    double part = othersThere ? PAUSE_PART : ONLY_STREAM_PART;
+    return attemptSilenceMillis >= part * pause && upstreamSilenceMillis >= SILENCE_PART * pause;
   }
 }
--- a/core/src/main/java/org/clementinequay/core/placement/EngineLedger.java
+++ b/core/src/main/java/org/clementinequay/core/placement/EngineLedger.java
@@ -37,8 +37,14 @@
   private final Map<String, Engine> engines = new HashMap<>();
   private double meanWork = FIRST_WORK_MILLIS;
 
-  /** Chosen engine and the estimates behind the choice. */
-  public record Choice(String engine, double waitMillis, double workMillis, boolean sharedHeld) {}
+  /**
+   * Chosen engine and the estimates behind the choice.
+   *
+   * @param waitMillis time for the work that is outstanding there
+   * @param workMillis work of the request
+   * @param firstMillis time to the first event
+   */
+  public record Choice(String engine, double waitMillis, double workMillis, double firstMillis) {}
 
   /**
    * Chooses among engines.
@@ -63,7 +69,7 @@
       double wait = engine.outstanding(nowNanos, meanWork) / speed;
       double total = wait + millis / speed;
       if (best == null || total < bestMillis) {
-        best = new Choice(name, wait, millis, held);
+        best = new Choice(name, wait, millis, wait + work.prefillMillis(held) / speed);
         bestMillis = total;
       }
     }
--- /dev/null
+++ b/core/src/test/java/org/clementinequay/core/dispatch/RetryWindowTest.java
@@ -0,0 +1,62 @@
+package org.clementinequay.core.dispatch;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.time.Duration;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Guards against more repeats than the deployment allows, and against too few in a burst. */
+public class RetryWindowTest {
+  private static final long SECOND = 1_000_000_000L;
+
+  private RetryWindow window;
+
+  @BeforeMethod
+  public void create() {
+    window = new RetryWindow(Duration.ofSeconds(10), 0.5, 4);
+  }
+
+  private int taken(long atNanos, int tries) {
+    int taken = 0;
+    for (int i = 0; i < tries; i++) {
+      if (window.tryRepeat(atNanos)) {
+        taken++;
+      }
+    }
+    return taken;
+  }
+
+  @Test
+  public void burstMayUseTheWholeWindow() {
+    for (int i = 0; i < 20; i++) {
+      window.recordRequest(SECOND + i * SECOND / 4);
+    }
+    assertEquals(taken(7 * SECOND, 100), 14);
+  }
+
+  @Test
+  public void repeatsAreFreeAgainAfterTheWindow() {
+    assertEquals(taken(SECOND, 100), 4);
+    assertEquals(taken(10 * SECOND, 100), 0);
+    assertEquals(taken(12 * SECOND, 100), 4);
+  }
+
+  @Test
+  public void requestsOfTheWindowBeforeCount() {
+    for (int i = 0; i < 20; i++) {
+      window.recordRequest(SECOND);
+    }
+    assertTrue(taken(15 * SECOND, 100) >= 14);
+  }
+
+  // Guards against a ring that keeps old counts after a long pause.
+  @Test
+  public void longPauseClearsTheCounts() {
+    for (int i = 0; i < 20; i++) {
+      window.recordRequest(SECOND);
+    }
+    assertEquals(taken(1000 * SECOND, 100), 4);
+  }
+}
--- a/core/src/test/java/org/clementinequay/core/dispatch/StallRuleTest.java
+++ b/core/src/test/java/org/clementinequay/core/dispatch/StallRuleTest.java
@@ -14,7 +14,14 @@
   private static boolean stalled(
       RequestKind kind, boolean started, long attemptSilence, long upstreamSilence) {
     return StallRule.stalled(
-        kind, FIRST_EVENT_MILLIS, PAUSE_MILLIS, started, attemptSilence, upstreamSilence);
+        kind,
+        FIRST_EVENT_MILLIS,
+        PAUSE_MILLIS,
+        started,
+        300,
+        true,
+        attemptSilence,
+        upstreamSilence);
   }
 
   /** Streams. */
@@ -31,6 +38,26 @@
       assertFalse(stalled(RequestKind.RESUMABLE_STREAM, false, 3000, 50));
     }
 
+    // Guards against leaving an engine that reads a long prompt.
+    @Test
+    public void longPromptsGetTheirEstimatedTime() {
+      assertFalse(
+          StallRule.stalled(
+              RequestKind.RESUMABLE_STREAM, 4000, 1000, false, 1200, false, 2000, 2000));
+      assertTrue(
+          StallRule.stalled(
+              RequestKind.RESUMABLE_STREAM, 4000, 1000, false, 1200, false, 2500, 2500));
+    }
+
+    // Guards against leaving an engine because its only stream pauses for the prompts of others.
+    @Test
+    public void onlyStreamIsGivenMoreTime() {
+      assertFalse(
+          StallRule.stalled(RequestKind.RESUMABLE_STREAM, 4000, 1000, true, 300, false, 800, 800));
+      assertTrue(
+          StallRule.stalled(RequestKind.RESUMABLE_STREAM, 4000, 1000, true, 300, false, 960, 960));
+    }
+
     @Test
     public void streamThatRunsOnceIsNeverRepeated() {
       assertFalse(stalled(RequestKind.STREAM, true, 60_000, 60_000));
@@ -41,13 +68,14 @@
   public static class Calls {
     @Test
     public void idempotentCallIsRepeated() {
-      assertTrue(StallRule.stalled(RequestKind.IDEMPOTENT, 150, 0, false, 320, 0));
-      assertFalse(StallRule.stalled(RequestKind.IDEMPOTENT, 150, 0, false, 200, 200));
+      assertTrue(StallRule.stalled(RequestKind.IDEMPOTENT, 150, 0, false, 0, false, 320, 0));
+      assertFalse(StallRule.stalled(RequestKind.IDEMPOTENT, 150, 0, false, 0, false, 200, 200));
     }
 
     @Test
     public void callThatRunsOnceIsNeverRepeated() {
-      assertFalse(StallRule.stalled(RequestKind.AT_MOST_ONCE, 150, 0, false, 60_000, 60_000));
+      assertFalse(
+          StallRule.stalled(RequestKind.AT_MOST_ONCE, 150, 0, false, 0, false, 60_000, 60_000));
     }
   }
 }
--- a/server/src/main/java/org/clementinequay/server/gateway/AttemptPlacement.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/AttemptPlacement.java
@@ -67,13 +67,18 @@
     return request.lastSharedPart().map(part -> model().orElse("") + '/' + part.id()).orElse(null);
   }
 
+  /** Returns whether an upstream that was not tried could take an attempt. */
+  boolean possible(Set<String> tried) {
+    return !candidates(tried).isEmpty();
+  }
+
   /** Chooses an upstream that was not tried and counts the attempt in its health. */
   Optional<Placed> place(Set<String> tried) {
     List<UpstreamInstance> candidates = candidates(tried);
     while (!candidates.isEmpty()) {
       EngineLedger.Choice choice = choose(candidates);
       UpstreamInstance instance = find(candidates, choice.engine());
-      if (gateway.health.tryStart(instance.id())) {
+      if (gateway.health.tryStart(instance.id()) || candidates.size() == 1) {
         return Optional.of(new Placed(instance, choice));
       }
       candidates.remove(instance);
@@ -88,6 +93,9 @@
     if (result.isEmpty() && shift.isPresent() && !shift.get().state().ended()) {
       result = untried(tried, shift, !target && shift.get().reason().isEmpty());
     }
+    if (result.isEmpty()) {
+      result = ejected(tried, shift);
+    }
     shuffle(result);
     return result;
   }
@@ -126,6 +134,24 @@
     return result;
   }
 
+  /**
+   * Returns ejected upstreams of this host's failure domain where no other is left. In a cut domain
+   * all the far ones are unreachable, and a near one that only was slow is better than a refusal.
+   */
+  private List<UpstreamInstance> ejected(Set<String> tried, Optional<TrafficShift> shift) {
+    List<UpstreamInstance> result = new ArrayList<>();
+    for (UpstreamInstance instance : gateway.available(service)) {
+      boolean stopped =
+          shift.isPresent()
+              && shift.get().share(gateway.clock.nanoTime()) <= 0
+              && instance.version().equals(shift.get().order().target());
+      if (!stopped && !tried.contains(instance.id()) && instance.domain().equals(gateway.domain)) {
+        result.add(instance);
+      }
+    }
+    return result;
+  }
+
   /** Hosts that know the same would otherwise all choose the first of equal upstreams. */
   private void shuffle(List<UpstreamInstance> instances) {
     for (int i = instances.size() - 1; i > 0; i--) {
--- a/server/src/main/java/org/clementinequay/server/gateway/Gateway.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/Gateway.java
@@ -10,7 +10,7 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.random.RandomGenerator;
-import org.clementinequay.core.dispatch.RetryBudget;
+import org.clementinequay.core.dispatch.RetryWindow;
 import org.clementinequay.core.dispatch.UpstreamTable;
 import org.clementinequay.core.forward.ForwardingConfiguration;
 import org.clementinequay.core.forward.InstanceDirectory;
@@ -41,11 +41,13 @@
   final SlowAnswerDetector slowAnswers = new SlowAnswerDetector();
   final RandomGenerator random;
   final String hostName;
+  final String domain;
   private final InstanceDirectory directory = new InstanceDirectory();
   private final Map<String, TrafficShift> shifts = new ConcurrentHashMap<>();
-  private final Map<String, RetryBudget> budgets = new ConcurrentHashMap<>();
+  private final Map<String, RetryWindow> budgets = new ConcurrentHashMap<>();
   private final double retriesPerRequest;
   private final double retryBalance;
+  private final Duration budgetWindow;
   private volatile ForwardingConfiguration configuration;
   private volatile Map<String, List<UpstreamInstance>> available = Map.of();
 
@@ -60,10 +62,12 @@
    *
    * @param retriesPerRequest retries and second sizes allowed for each request of a service
    * @param retryBalance retries allowed in a burst, for this host's share of the deployment
+   * @param budgetWindow time over which requests and retries are counted
    * @param sessionIdleTime time without a request after which a session has ended
    */
   public Gateway(
       String hostName,
+      String domain,
       RuntimeClock clock,
       GatewayProtocol protocol,
       UpstreamSender sender,
@@ -73,8 +77,10 @@
       RandomGenerator random,
       double retriesPerRequest,
       double retryBalance,
+      Duration budgetWindow,
       Duration sessionIdleTime) {
     this.hostName = hostName;
+    this.domain = domain;
     this.clock = clock;
     this.protocol = protocol;
     this.sender = sender;
@@ -85,6 +91,7 @@
     this.health = new UpstreamTable(clock, MAX_PROBE_AFTER);
     this.retriesPerRequest = retriesPerRequest;
     this.retryBalance = retryBalance;
+    this.budgetWindow = budgetWindow;
     this.sessions = new SessionVersions(sessionIdleTime);
   }
 
@@ -185,8 +192,19 @@
         });
   }
 
-  RetryBudget budget(String service) {
-    return budgets.computeIfAbsent(service, s -> new RetryBudget(retriesPerRequest, retryBalance));
+  /** Counts a request of a service. */
+  void requested(String service) {
+    budget(service).recordRequest(clock.nanoTime());
+  }
+
+  /** Takes a repeat of a service's budget; returns false if none is left. */
+  boolean tryRepeat(String service) {
+    return budget(service).tryRepeat(clock.nanoTime());
+  }
+
+  private RetryWindow budget(String service) {
+    return budgets.computeIfAbsent(
+        service, s -> new RetryWindow(budgetWindow, retriesPerRequest, retryBalance));
   }
 
   void schedule(Duration delay, Runnable task) {
--- a/server/src/main/java/org/clementinequay/server/gateway/GatewayAttempt.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/GatewayAttempt.java
@@ -36,7 +36,6 @@
   private long firstEventId;
   private boolean released;
   boolean slow;
-  private boolean unreachable;
   private long progressNanos;
 
   GatewayAttempt(GatewayRun run, UpstreamInstance instance, EngineLedger.Choice choice) {
@@ -58,11 +57,12 @@
             run.route.objectiveMillis(),
             run.route.gapObjectiveMillis(),
             firstEventNanos != 0,
+            choice.firstMillis(),
+            gateway.engines.outstanding(instance.id()) > 1,
             silence,
             upstreamSilence);
-    if (stalled && run.attempts < run.route.maxAttempts()) {
-      unreachable = run.route.kind().streaming();
-      drop("no progress for " + silence + " ms");
+    if (stalled && run.tryMove()) {
+      moveOn("no progress for " + silence + " ms");
     }
   }
 
@@ -126,7 +126,29 @@
         && answer.confidence().orElse(100) < ACCEPTED_CONFIDENCE
         && run.placement.hasLargerModel()
         && run.attempts < run.route.maxAttempts()
-        && gateway.budget(run.service).tryRetry();
+        && gateway.tryRepeat(run.service);
+  }
+
+  /** Goes on at another upstream, for which the budget was taken. */
+  private void moveOn(String why) {
+    run.current = null;
+    release();
+    run.mayHaveRun = true;
+    boolean ejected = run.route.kind().streaming() && gateway.health.unreachable(instance.id());
+    call.abandon(new java.io.IOException(why));
+    placement().failed(instance);
+    run.log(
+        "stalled", "upstream", instance.id(), "reason", why, "ejected", ejected, "age_ms", age());
+    run.events.discardPartial();
+    run.attempt();
+  }
+
+  private AttemptPlacement placement() {
+    return run.placement;
+  }
+
+  private long age() {
+    return (gateway.clock.nanoTime() - sentNanos) / 1_000_000;
   }
 
   /** Closes the connection and goes on as after a failure. */
@@ -259,8 +281,14 @@
   private void rejected() {
     run.current = null;
     release();
-    gateway.health.abandoned(instance.id());
     run.log("rejected", "upstream", instance.id(), "status", head.status());
+    if (head.misdirected()) {
+      // Another process has the address; the listed one has ended and was not sent anything.
+      gateway.health.unreachable(instance.id());
+      run.attempts--;
+    } else {
+      gateway.health.abandoned(instance.id());
+    }
     run.again(false, "the upstreams are full");
   }
 
@@ -277,7 +305,7 @@
             && !run.committed
             && run.attempts < run.route.maxAttempts()
             && run.remainingMillis() >= GatewayRun.SHORTEST_ATTEMPT_MILLIS
-            && gateway.budget(run.service).tryRetry();
+            && gateway.tryRepeat(run.service);
     if (more) {
       run.attempt();
       return;
@@ -358,11 +386,8 @@
       run.attempts--;
     }
     boolean ejected =
-        unreachable || !offered
-            ? gateway.health.unreachable(instance.id())
-            : gateway.health.failed(instance.id());
+        offered ? gateway.health.failed(instance.id()) : gateway.health.unreachable(instance.id());
     if (offered) {
-      observe(true);
       run.placement.failed(instance);
     }
     run.log(
@@ -376,7 +401,7 @@
         "ejected",
         ejected,
         "age_ms",
-        (gateway.clock.nanoTime() - sentNanos) / 1_000_000);
+        age());
     run.events.discardPartial();
     run.again(offered, "the upstream did not answer whole");
   }
--- a/server/src/main/java/org/clementinequay/server/gateway/GatewayHost.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/GatewayHost.java
@@ -87,6 +87,7 @@
     this.gateway =
         new Gateway(
             settings.name(),
+            settings.domain(),
             clock,
             protocol,
             new JettySender(client, onceClient),
@@ -96,6 +97,7 @@
             new SplittableRandom(),
             settings.retriesPerRequest() * RETRY_SHARE,
             settings.retryBurst() * RETRY_SHARE / ASSUMED_HOSTS,
+            Duration.ofMillis((long) (settings.retryWindowSeconds() * 1000)),
             Duration.ofMillis((long) (settings.sessionSeconds() * 1000)));
     this.handler = new GatewayHandler(gateway);
     this.ready = new ReadyHandler(gateway, metrics::scrape);
--- a/server/src/main/java/org/clementinequay/server/gateway/GatewayRun.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/GatewayRun.java
@@ -77,7 +77,7 @@
 
   synchronized void start() {
     gateway.active.add(this);
-    gateway.budget(service).recordRequest();
+    gateway.requested(service);
     long millis = Math.max(0, remainingMillis()) + LIMIT_GRACE_MILLIS;
     gateway.schedule(Duration.ofMillis(millis), this::limitReached);
     attempt();
@@ -202,13 +202,21 @@
     }
   }
 
+  /** Returns whether another upstream could take over now, and takes a repeat of the budget. */
+  boolean tryMove() {
+    return attempts < route.maxAttempts()
+        && remainingMillis() >= SHORTEST_ATTEMPT_MILLIS
+        && placement.possible(tried)
+        && gateway.tryRepeat(service);
+  }
+
   /** Tries another upstream if kind, route, budget and time allow it; otherwise fails. */
   void again(boolean afterRun, String why) {
     boolean allowed =
         (!afterRun || route.kind().repeatable())
             && attempts < route.maxAttempts()
             && remainingMillis() >= SHORTEST_ATTEMPT_MILLIS;
-    if (allowed && gateway.budget(service).tryRetry()) {
+    if (allowed && gateway.tryRepeat(service)) {
       attempt();
       return;
     }
--- a/server/src/main/java/org/clementinequay/server/gateway/GatewaySettings.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/GatewaySettings.java
@@ -27,6 +27,7 @@
  * @param stopSeconds seconds from the signal to stop until the process is killed
  * @param retriesPerRequest retries allowed for each request, over all hosts
  * @param retryBurst retries allowed beyond that in a window, over all hosts
+ * @param retryWindowSeconds window of these two, in seconds
  * @param sessionSeconds pause in seconds after which a session has ended
  */
 @JsonIgnoreProperties(ignoreUnknown = true)
@@ -46,6 +47,7 @@
     double stopSeconds,
     double retriesPerRequest,
     double retryBurst,
+    double retryWindowSeconds,
     double sessionSeconds) {
   private static final ObjectReader READER =
       JsonMapper.builder()
--- a/server/src/test/java/org/clementinequay/server/gateway/GatewayFixture.java
+++ b/server/src/test/java/org/clementinequay/server/gateway/GatewayFixture.java
@@ -38,6 +38,7 @@
   final Gateway gateway =
       new Gateway(
           "h1",
+          "d",
           clock,
           new Protocol(),
           this::send,
@@ -47,6 +48,7 @@
           new SplittableRandom(7),
           0.5,
           10,
+          Duration.ofSeconds(10),
           Duration.ofSeconds(5));
   boolean ended;
 
--- a/server/src/test/java/org/clementinequay/server/gateway/GatewayRunTest.java
+++ b/server/src/test/java/org/clementinequay/server/gateway/GatewayRunTest.java
@@ -10,6 +10,8 @@
 import java.time.Duration;
 import java.util.List;
 import org.clementinequay.core.forward.RequestKind;
+import org.clementinequay.core.rollout.ShiftOrder;
+import org.clementinequay.core.rollout.TrafficShift;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpHeader;
 import org.testng.annotations.BeforeMethod;
@@ -62,6 +64,15 @@
       assertNotNull(fixture.reply.headers.get(HttpHeader.RETRY_AFTER));
     }
 
+    // Guards against a request that fails because the list of upstreams was out of date.
+    @Test
+    public void addressOfAnotherProcessIsNoAttempt() {
+      fixture.last().answer(421, HttpFields.EMPTY, "");
+      fixture.last().answer(421, HttpFields.EMPTY, "");
+      fixture.last().answer(200, GatewayFixture.own(), "ok");
+      assertEquals(fixture.reply.body.toString(), "ok");
+    }
+
     @Test
     public void unavailableWithoutStatementIsNoPromise() {
       fixture.last().answer(503, GatewayFixture.own(), "");
@@ -163,6 +174,29 @@
       assertTrue(fixture.reply.whole);
     }
 
+    // Guards against a good version that is rolled back because an engine of it crashed.
+    @Test
+    public void brokenConnectionIsNoEvidenceAgainstAVersion() {
+      TrafficShift shift =
+          fixture.gateway.ordered(new ShiftOrder("s", "v2", Duration.ofSeconds(20), 5));
+      fixture.run(RequestKind.RESUMABLE_STREAM, CALLER_NAMES_MODEL);
+      fixture.last().fail(true);
+      assertTrue(shift.evidence().isEmpty());
+      fixture.last().answer(500, GatewayFixture.own(), "");
+      assertEquals(shift.evidence().size(), 1);
+    }
+
+    // Guards against a stream that is cut although its engine would have gone on.
+    @Test
+    public void streamStaysWhereNoOtherUpstreamIsLeft() {
+      fixture.gateway.listed(List.of(GatewayFixture.instance("a")));
+      GatewayRun run = fixture.run(RequestKind.RESUMABLE_STREAM, CALLER_NAMES_MODEL);
+      fixture.clock.advance(Duration.ofMillis(3000));
+      run.checkProgress(fixture.clock.nanoTime());
+      assertFalse(fixture.last().abandoned);
+      assertEquals(fixture.sent.size(), 1);
+    }
+
     @Test
     public void streamThatRunsOnceIsCutVisibly() {
       fixture.run(RequestKind.STREAM, CALLER_NAMES_MODEL);
