--- a/server/src/main/java/org/clementinequay/server/gateway/GatewayRun.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/GatewayRun.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import org.clementinequay.core.dispatch.EventSplitter;
 import org.clementinequay.core.forward.AccountKeys;
+import org.clementinequay.core.forward.ForwardingConfiguration;
 import org.clementinequay.core.forward.Route;
 import org.clementinequay.core.forward.UpstreamInstance;
 import org.clementinequay.core.placement.EngineLedger;
@@ -167,7 +168,11 @@
         "work_ms",
         Math.round(choice.workMillis()),
         "left_ms",
-        remaining);
+        remaining,
+        "list_age_ms",
+        gateway.directoryAgeNanos() / 1_000_000,
+        "configuration",
+        gateway.configuration().map(ForwardingConfiguration::version).orElse(0L));
     rememberVersion(instance);
     attempt.call.start();
   }
