--- a/server/src/main/java/org/clementinequay/server/gateway/GatewayHost.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/GatewayHost.java
@@ -48,7 +48,7 @@
           PeerTimings.PRODUCTION.firstBackOff(),
           PeerTimings.PRODUCTION.longestBackOff(),
           PeerTimings.PRODUCTION.secondDialDelay(),
-          Duration.ofSeconds(6));
+          Duration.ofSeconds(10));
 
   private static final Duration DRAIN_POLL = Duration.ofMillis(50);
 
--- a/server/src/main/java/org/clementinequay/server/gateway/InstanceDuty.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/InstanceDuty.java
@@ -9,7 +9,7 @@
    * Time between two readings; a leaving upstream must take no work 2 s after it said so. A feed
    * would return at every heartbeat of every upstream and cost more calls.
    */
-  private static final Duration INTERVAL = Duration.ofMillis(800);
+  private static final Duration INTERVAL = Duration.ofMillis(1050);
 
   private static final Duration AFTER_FAILURE = Duration.ofMillis(250);
 
--- a/server/src/main/java/org/clementinequay/server/gateway/OperatorDuty.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/OperatorDuty.java
@@ -11,7 +11,7 @@
    * Longest wait for a change. A connection that went silent shows only by a missing answer, and a
    * change must be in force within 2 s.
    */
-  private static final Duration WAIT = Duration.ofMillis(1200);
+  private static final Duration WAIT = Duration.ofMillis(1600);
 
   private static final Duration AFTER_FAILURE = Duration.ofMillis(150);
 
