--- a/core/src/main/java/org/clementinequay/core/placement/EngineLedger.java
+++ b/core/src/main/java/org/clementinequay/core/placement/EngineLedger.java
@@ -42,7 +42,8 @@
    *
    * @param waitMillis time for the work that is outstanding there
    * @param workMillis work of the request
-   * @param firstMillis time to the first event
+   * @param firstMillis time to read the prompt; requests that run already do not delay it as much
+   *     as their whole work would
    */
   public record Choice(String engine, double waitMillis, double workMillis, double firstMillis) {}
 
@@ -69,7 +70,7 @@
       double wait = engine.outstanding(nowNanos, meanWork) / speed;
       double total = wait + millis / speed;
       if (best == null || total < bestMillis) {
-        best = new Choice(name, wait, millis, wait + work.prefillMillis(held) / speed);
+        best = new Choice(name, wait, millis, work.prefillMillis(held) / speed);
         bestMillis = total;
       }
     }
