--- a/server/src/main/java/org/clementinequay/server/gateway/GatewayAttempt.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/GatewayAttempt.java
@@ -34,6 +34,7 @@
   private AnswerHead head;
   private long firstEventNanos;
   private long firstEventId;
+  private double workLeftMillis;
   private boolean released;
   boolean slow;
   private long progressNanos;
@@ -45,6 +46,7 @@
     this.progressNanos = sentNanos;
     this.instance = instance;
     this.choice = choice;
+    this.workLeftMillis = choice.workMillis();
   }
 
   void checkProgress(long nowNanos) {
@@ -77,7 +79,7 @@
       if (relaying()) {
         learnPace();
       }
-      gateway.engines.finished(instance.id(), choice.workMillis());
+      gateway.engines.finished(instance.id(), workLeftMillis);
     }
   }
 
@@ -193,7 +195,15 @@
     next.succeeded();
   }
 
+  /** Tells the ledger that the prompt is read, or how much of the output is left. */
+  private void progressed(double leftMillis) {
+    double left = Math.max(0, Math.min(workLeftMillis, leftMillis));
+    gateway.engines.progressed(instance.id(), workLeftMillis - left);
+    workLeftMillis = left;
+  }
+
   private void relay(byte[] whole, Callback next) {
+    progressed(run.placement.outputMillis(run.events.lastId()));
     if (firstEventNanos == 0) {
       firstEventNanos = gateway.clock.nanoTime();
       firstEventId = run.events.lastId();
