--- a/core/src/main/java/org/clementinequay/core/placement/EngineLedger.java
+++ b/core/src/main/java/org/clementinequay/core/placement/EngineLedger.java
@@ -5,49 +5,28 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.TreeMap;
 
 /**
  * Keeps the work that is outstanding on each engine and chooses the engine with the least estimated
- * completion time: outstanding work, that of this host and what its peers told, plus the work of
- * the request, over the engine's learned speed. An engine that holds the shared part of a prompt
- * has less to do for it. This answers a load of long shared prompts on engines of unlike speed,
- * where the number of requests says little. Thread-safe.
+ * completion time: outstanding work of this host, plus the work of the request, over the engine's
+ * learned speed. An engine that holds the shared part of a prompt has less to do for it. This
+ * answers a load of long shared prompts on engines of unlike speed, where the number of requests
+ * says little. Telling the peers each host's work was tried and made it worse: all hosts ran to the
+ * engine that the last news called free. Thread-safe.
  */
 public final class EngineLedger {
   /** Weight of a new sample of an engine's pace; follows a change within about ten answers. */
   private static final double PACE_WEIGHT = 0.15;
 
-  /** Time in which work that a peer told is forgotten by a factor of e, in nanoseconds. */
-  private static final double PEER_DECAY_NANOS = 1e9;
-
-  /** Work below which an engine is not worth telling the peers, in milliseconds. */
-  private static final double NEGLIGIBLE_MILLIS = 1;
-
   /** Bounds of the learned speed relative to the mean, against a few odd samples. */
   private static final double SLOWEST = 0.25;
 
   private static final double FASTEST = 4;
 
-  /**
-   * Engines that are compared for a request, besides those that hold its shared part. All hosts
-   * hear the same of their peers and would run to the same engine if each compared all of them; two
-   * random choices avoid that (Mitzenmacher, "How useful is old information?").
-   */
-  private static final int CHOICES = 2;
-
-  /**
-   * Outstanding work up to which an engine counts as free and all are compared, in milliseconds.
-   */
-  private static final double CALM_MILLIS = 150;
-
   /** Advantage of the engine that all hosts prefer for a shared part that none was seen to hold. */
   private static final double PREFERRED_SHARE = 0.5;
 
   private final Map<String, Engine> engines = new HashMap<>();
-  private final Map<String, PeerWork> peers = new HashMap<>();
-
-  private record PeerWork(Map<String, Double> millis, long atNanos) {}
 
   /**
    * Chosen engine and the estimates behind the choice.
@@ -56,59 +35,36 @@
    * @param workMillis work of the request
    * @param firstMillis time to read the prompt; requests that run already do not delay it as much
    *     as their whole work would
-   * @param totalMillis time to the end
    */
-  public record Choice(
-      String engine,
-      double waitMillis,
-      double workMillis,
-      double firstMillis,
-      double totalMillis) {}
+  public record Choice(String engine, double waitMillis, double workMillis, double firstMillis) {}
 
   /**
    * Chooses among engines.
    *
-   * @param candidates the engines in random order; only the first few are compared
    * @param sharedPart id of the last shared part of the prompt together with the model, or null
    */
-  public synchronized Choice choose(
-      List<String> candidates, EngineWork work, String sharedPart, long nowNanos) {
+  public synchronized Choice choose(List<String> candidates, EngineWork work, String sharedPart) {
     double meanPace = meanPace(candidates);
     String preferred = sharedPart == null ? null : preferred(candidates, sharedPart);
     Choice best = null;
-    Choice bestOfFew = null;
-    for (int i = 0; i < candidates.size(); i++) {
-      String name = candidates.get(i);
-      boolean held = sharedPart != null && engine(name).parts.contains(sharedPart);
-      boolean isPreferred = name.equals(preferred);
-      Choice choice = estimate(name, work, held, isPreferred, meanPace, nowNanos);
-      if (best == null || choice.totalMillis() < best.totalMillis()) {
-        best = choice;
+    double bestMillis = 0;
+    for (String name : candidates) {
+      Engine engine = engine(name);
+      boolean held = sharedPart != null && engine.parts.contains(sharedPart);
+      double cold = work.millis(false);
+      double millis = held ? work.millis(true) : cold;
+      if (!held && name.equals(preferred)) {
+        millis -= PREFERRED_SHARE * (cold - work.millis(true));
       }
-      boolean compared = i < CHOICES || held || isPreferred;
-      if (compared && (bestOfFew == null || choice.totalMillis() < bestOfFew.totalMillis())) {
-        bestOfFew = choice;
+      double speed = engine.speed(meanPace);
+      double wait = engine.ownWork / speed;
+      double total = wait + millis / speed;
+      if (best == null || total < bestMillis) {
+        best = new Choice(name, wait, millis, work.prefillMillis(held) / speed);
+        bestMillis = total;
       }
     }
-    return best == null || best.waitMillis() <= CALM_MILLIS ? best : bestOfFew;
-  }
-
-  private Choice estimate(
-      String name,
-      EngineWork work,
-      boolean held,
-      boolean isPreferred,
-      double meanPace,
-      long nowNanos) {
-    Engine engine = engine(name);
-    double cold = work.millis(false);
-    double millis = held ? work.millis(true) : cold;
-    if (!held && isPreferred) {
-      millis -= PREFERRED_SHARE * (cold - work.millis(true));
-    }
-    double speed = engine.speed(meanPace);
-    double wait = (engine.ownWork + peerWork(name, nowNanos)) / speed;
-    return new Choice(name, wait, millis, work.prefillMillis(held) / speed, wait + millis / speed);
+    return best;
   }
 
   /** Records that a run was sent. */
@@ -143,40 +99,6 @@
             : engine.pace + PACE_WEIGHT * (millisPerToken - engine.pace);
   }
 
-  /** Returns this host's outstanding work by engine, to be told to the peers. */
-  public synchronized Map<String, Double> ownWork() {
-    Map<String, Double> result = new TreeMap<>();
-    engines.forEach(
-        (name, engine) -> {
-          if (engine.ownWork >= NEGLIGIBLE_MILLIS) {
-            result.put(name, engine.ownWork);
-          }
-        });
-    return result;
-  }
-
-  /** Records the work that a peer has outstanding on the engines. */
-  public synchronized void peerWork(String host, Map<String, Double> millis, long nowNanos) {
-    peers.put(host, new PeerWork(Map.copyOf(millis), nowNanos));
-  }
-
-  /** Forgets a peer that left or failed; its connections ended with it. */
-  public synchronized void peerGone(String host) {
-    peers.remove(host);
-  }
-
-  private double peerWork(String engine, long nowNanos) {
-    double sum = 0;
-    for (PeerWork work : peers.values()) {
-      Double millis = work.millis().get(engine);
-      if (millis != null) {
-        double age = Math.max(0, nowNanos - work.atNanos());
-        sum += millis * Math.exp(-age / PEER_DECAY_NANOS);
-      }
-    }
-    return sum;
-  }
-
   /** Records that this host received something from an engine. */
   public synchronized void heard(String name, long nowNanos) {
     engine(name).heardNanos = nowNanos;
--- a/server/src/main/java/org/clementinequay/server/gateway/AttemptPlacement.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/AttemptPlacement.java
@@ -168,7 +168,7 @@
   private EngineLedger.Choice choose(List<UpstreamInstance> candidates) {
     List<String> ids = new ArrayList<>(candidates.size());
     candidates.forEach(candidate -> ids.add(candidate.id()));
-    return gateway.engines.choose(ids, work(), sharedPart(), gateway.clock.nanoTime());
+    return gateway.engines.choose(ids, work(), sharedPart());
   }
 
   private EngineWork work() {
--- a/server/src/main/java/org/clementinequay/server/gateway/GatewayHost.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/GatewayHost.java
@@ -121,7 +121,6 @@
     this.peers = network(registry);
     ShiftGossip gossip = new ShiftGossip(gateway, peers);
     duty("rollouts", new ShiftDuty(gateway, platform, gossip)::step);
-    duty("work-exchange", new WorkExchange(gateway, peers)::step);
     HostEntry self =
         new HostEntry(settings.name(), "entry", settings.domain(), settings.peers(), false);
     duty("registration", new RegistrationDuty(registry, self, log)::step);
--- a/server/src/main/java/org/clementinequay/server/peer/PeerMessage.java
+++ b/server/src/main/java/org/clementinequay/server/peer/PeerMessage.java
@@ -4,7 +4,6 @@
 import com.fasterxml.jackson.annotation.JsonSubTypes;
 import com.fasterxml.jackson.annotation.JsonTypeInfo;
 import java.util.List;
-import java.util.Map;
 
 /**
  * Messages between entry hosts. The type name travels in the field {@code t}; receivers ignore
@@ -24,8 +23,7 @@
   @JsonSubTypes.Type(value = PeerMessage.UpstreamNews.class, name = "upstream_news"),
   @JsonSubTypes.Type(value = PeerMessage.VersionStopped.class, name = "version_stopped"),
   @JsonSubTypes.Type(value = PeerMessage.Counters.class, name = "counters"),
-  @JsonSubTypes.Type(value = PeerMessage.ShiftNews.class, name = "shift"),
-  @JsonSubTypes.Type(value = PeerMessage.OutstandingWork.class, name = "work")
+  @JsonSubTypes.Type(value = PeerMessage.ShiftNews.class, name = "shift")
 })
 public sealed interface PeerMessage {
   /** First message on a connection, in both directions. */
@@ -88,9 +86,6 @@
   /** Mergeable counters of a policy, such as pass rates, as compact JSON. */
   record Counters(String kind, String json) implements PeerMessage {}
 
-  /** The sender's outstanding work by engine, in milliseconds of engine time. */
-  record OutstandingWork(@JsonProperty("w") Map<String, Long> millis) implements PeerMessage {}
-
   /**
    * What the sender knows of the move of a service's traffic to another version, its own answers
    * and those that other hosts told it, because not all hosts are linked.
