Pass on no promise that an upstream did not make, and go on after a failed resume

Cause: found by reading: an answer over 8 MB was cut and would have looked whole; 429 and 408 without the upstream's statement were passed on; a stream was cut when the upstream that went on with it answered with a failure; after a smaller model had run, a refusal still said not run. Change: each mended, with tests that failed before for the last three.

--- a/server/src/main/java/org/clementinequay/server/gateway/GatewayAttempt.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/GatewayAttempt.java
@@ -1,7 +1,9 @@
 package org.clementinequay.server.gateway;
 
 import java.io.ByteArrayOutputStream;
+import java.io.IOException;
 import java.nio.ByteBuffer;
+import java.util.Set;
 import org.clementinequay.core.dispatch.CorruptStreamException;
 import org.clementinequay.core.dispatch.StallRule;
 import org.clementinequay.core.forward.UpstreamInstance;
@@ -24,6 +26,12 @@
 
   private static final int SERVER_ERROR = 500;
 
+  /**
+   * Statuses by which callers understand that the request has not run. Where the upstream did not
+   * state that, they are not passed on.
+   */
+  private static final Set<Integer> PROMISES = Set.of(408, 429, 503);
+
   private final GatewayRun run;
   private final Gateway gateway;
   final UpstreamInstance instance;
@@ -116,6 +124,7 @@
             "model",
             run.placement.model().orElse(""));
         run.placement.useLargestModel();
+        run.mayHaveRun = true;
         run.tried.clear();
         run.abandonCurrent("a larger model is asked");
         run.attempt();
@@ -137,25 +146,21 @@
     release();
     run.mayHaveRun = true;
     boolean ejected = run.route.kind().streaming() && gateway.health.unreachable(instance.id());
-    call.abandon(new java.io.IOException(why));
-    placement().failed(instance);
+    call.abandon(new IOException(why));
+    run.placement.failed(instance);
     run.log(
         "stalled", "upstream", instance.id(), "reason", why, "ejected", ejected, "age_ms", age());
     run.events.discardPartial();
     run.attempt();
   }
 
-  private AttemptPlacement placement() {
-    return run.placement;
-  }
-
   private long age() {
     return (gateway.clock.nanoTime() - sentNanos) / 1_000_000;
   }
 
   /** Closes the connection and goes on as after a failure. */
   private void drop(String why) {
-    call.abandon(new java.io.IOException(why));
+    call.abandon(new IOException(why));
     broken(why, true);
   }
 
@@ -189,10 +194,12 @@
   private void collect(ByteBuffer bytes, Callback next) {
     byte[] part = new byte[bytes.remaining()];
     bytes.get(part);
-    if (collected.size() + part.length <= MAX_ANSWER_BYTES) {
-      collected.writeBytes(part);
-    }
     next.succeeded();
+    if (collected.size() + part.length > MAX_ANSWER_BYTES) {
+      drop("the answer is longer than " + MAX_ANSWER_BYTES + " bytes");
+      return;
+    }
+    collected.writeBytes(part);
   }
 
   /** Tells the ledger that the prompt is read, or how much of the output is left. */
@@ -268,16 +275,9 @@
   }
 
   private void answerEnded() {
-    boolean mislaid = head.misdirected() || head.notRun();
-    if (mislaid) {
+    if (head.misdirected() || head.notRun()) {
       rejected();
-    } else if (head.success()) {
-      succeeded();
-      run.settle(head.status(), "none");
-      run.log(
-          "done", "upstream", instance.id(), "status", head.status(), "ms", run.elapsedMillis());
-      run.reply.whole(head.status(), head.returned(), collected.toByteArray());
-    } else if (head.status() >= SERVER_ERROR) {
+    } else if (head.status() >= SERVER_ERROR || PROMISES.contains(head.status())) {
       serverFailed();
     } else {
       succeeded();
@@ -312,7 +312,6 @@
     run.log("upstream_failed", "upstream", instance.id(), "status", head.status());
     boolean more =
         run.route.kind().repeatable()
-            && !run.committed
             && run.attempts < run.route.maxAttempts()
             && run.remainingMillis() >= GatewayRun.SHORTEST_ATTEMPT_MILLIS
             && gateway.tryRepeat(run.service);
@@ -325,8 +324,7 @@
       return;
     }
     run.settle(head.status(), "upstream failed");
-    if (head.status() == GatewayRun.UNAVAILABLE) {
-      // Without the statement that it has not run, 503 would be a promise that may not hold.
+    if (PROMISES.contains(head.status())) {
       run.reply.whole(
           GatewayRun.BAD_GATEWAY,
           Refusals.headers(GatewayRun.BAD_GATEWAY, 0),
--- a/server/src/main/java/org/clementinequay/server/gateway/GatewayRun.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/GatewayRun.java
@@ -1,5 +1,6 @@
 package org.clementinequay.server.gateway;
 
+import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.HashSet;
@@ -203,7 +204,7 @@
         attempt.observe(false);
       }
       gateway.health.abandoned(attempt.instance.id());
-      attempt.call.abandon(new java.io.IOException(why));
+      attempt.call.abandon(new IOException(why));
     }
   }
 
--- a/server/src/test/java/org/clementinequay/server/gateway/GatewayRunTest.java
+++ b/server/src/test/java/org/clementinequay/server/gateway/GatewayRunTest.java
@@ -79,6 +79,12 @@
       assertEquals(fixture.reply.status, 502);
     }
 
+    @Test
+    public void tooManyRequestsWithoutStatementIsNoPromise() {
+      fixture.last().answer(429, GatewayFixture.own(), "");
+      assertEquals(fixture.reply.status, 502);
+    }
+
     @Test
     public void rejectionAfterALostAnswerIsNoPromise() {
       fixture.last().answer(503, NOT_RUN, "");
@@ -174,6 +180,31 @@
       assertTrue(fixture.reply.whole);
     }
 
+    // Guards against a stream that is cut because the next upstream failed.
+    @Test
+    public void resumedStreamGoesOnAfterAFailure() {
+      fixture.run(RequestKind.RESUMABLE_STREAM, CALLER_NAMES_MODEL);
+      fixture.last().head(200);
+      fixture.last().content(event(1));
+      fixture.last().fail(true);
+      fixture.last().answer(500, GatewayFixture.own(), "");
+      assertEquals(fixture.sent.size(), 3);
+      fixture.last().head(200);
+      fixture.last().content(event(2));
+      fixture.last().end();
+      assertEquals(fixture.reply.body.toString(), event(1) + event(2));
+    }
+
+    // Guards against a refusal as not run after a smaller model has run.
+    @Test
+    public void refusalAfterAnUnsureAnswerIsNoPromise() {
+      fixture.gateway.listed(List.of(GatewayFixture.instance("a")));
+      fixture.run(RequestKind.RESUMABLE_STREAM, List.of("small", "large"));
+      fixture.last().head(200, "10");
+      fixture.last().answer(503, NOT_RUN, "");
+      assertEquals(fixture.reply.status, 502);
+    }
+
     // Guards against a good version that is rolled back because an engine of it crashed.
     @Test
     public void brokenConnectionIsNoEvidenceAgainstAVersion() {
