Count the whole work of a run until it ends, and simplify the watched endpoint

Engines that generate for many looked free. Change: reverted; WatchedEndPoint has one way for readable and failed.

--- a/core/src/main/java/org/clementinequay/core/placement/EngineLedger.java
+++ b/core/src/main/java/org/clementinequay/core/placement/EngineLedger.java
@@ -77,17 +77,14 @@
     }
   }
 
-  /** Records that a part of a run's work is done. */
-  public synchronized void progressed(String name, double workMillis) {
-    Engine engine = engine(name);
-    engine.ownWork = Math.max(0, engine.ownWork - workMillis);
-  }
-
-  /** Records that a run ended, with the work that was left of it. */
-  public synchronized void finished(String name, double workLeftMillis) {
+  /**
+   * Records that a run ended. Until then its whole work counts: a run that only generates still
+   * slows the prompts that are read beside it.
+   */
+  public synchronized void finished(String name, double workMillis) {
     Engine engine = engine(name);
     engine.own = Math.max(0, engine.own - 1);
-    engine.ownWork = engine.own == 0 ? 0 : Math.max(0, engine.ownWork - workLeftMillis);
+    engine.ownWork = engine.own == 0 ? 0 : Math.max(0, engine.ownWork - workMillis);
   }
 
   /** Records the time that a run took for a generated token, over the weight of its model. */
--- a/server/src/main/java/org/clementinequay/server/gateway/AttemptPlacement.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/AttemptPlacement.java
@@ -57,12 +57,6 @@
     return engine().map(profile -> profile.cost(model().orElse("")) / REFERENCE_COST).orElse(1.0);
   }
 
-  /** Returns the work that is left after an event, in milliseconds of engine time. */
-  double outputMillis(long events) {
-    long left = Math.max(0, request.outputTokens() - events * tokensPerEvent());
-    return new EngineWork(0, 0, (int) left, weight()).millis(true);
-  }
-
   /** Returns the tokens in an event of a stream. */
   int tokensPerEvent() {
     return engine().map(EngineProfile::tokensPerEvent).orElse(1);
--- a/server/src/main/java/org/clementinequay/server/gateway/GatewayAttempt.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/GatewayAttempt.java
@@ -42,7 +42,6 @@
   private AnswerHead head;
   private long firstEventNanos;
   private long firstEventId;
-  private double workLeftMillis;
   private boolean released;
   boolean slow;
   private long progressNanos;
@@ -54,7 +53,6 @@
     this.progressNanos = sentNanos;
     this.instance = instance;
     this.choice = choice;
-    this.workLeftMillis = choice.workMillis();
   }
 
   void checkProgress(long nowNanos) {
@@ -87,7 +85,7 @@
       if (relaying()) {
         learnPace();
       }
-      gateway.engines.finished(instance.id(), workLeftMillis);
+      gateway.engines.finished(instance.id(), choice.workMillis());
     }
   }
 
@@ -202,15 +200,7 @@
     collected.writeBytes(part);
   }
 
-  /** Tells the ledger that the prompt is read, or how much of the output is left. */
-  private void progressed(double leftMillis) {
-    double left = Math.max(0, Math.min(workLeftMillis, leftMillis));
-    gateway.engines.progressed(instance.id(), workLeftMillis - left);
-    workLeftMillis = left;
-  }
-
   private void relay(byte[] whole, Callback next) {
-    progressed(run.placement.outputMillis(run.events.lastId()));
     if (firstEventNanos == 0) {
       firstEventNanos = gateway.clock.nanoTime();
       firstEventId = run.events.lastId();
--- a/server/src/main/java/org/clementinequay/server/gateway/GatewayHandler.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/GatewayHandler.java
@@ -1,5 +1,6 @@
 package org.clementinequay.server.gateway;
 
+import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
@@ -194,7 +195,7 @@
     @Override
     public void abort(String reason) {
       if (done.compareAndSet(false, true)) {
-        callback.failed(new java.io.IOException(reason));
+        callback.failed(new IOException(reason));
       }
     }
   }
--- a/server/src/main/java/org/clementinequay/server/gateway/Refusals.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/Refusals.java
@@ -1,5 +1,6 @@
 package org.clementinequay.server.gateway;
 
+import java.util.Locale;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpHeader;
 
@@ -16,8 +17,7 @@
   static HttpFields headers(int status, double retrySeconds) {
     HttpFields.Mutable fields = HttpFields.build().put(HttpHeader.CONTENT_TYPE, "text/plain");
     if (status == UNAVAILABLE) {
-      fields.put(
-          HttpHeader.RETRY_AFTER, String.format(java.util.Locale.ROOT, "%.2f", retrySeconds));
+      fields.put(HttpHeader.RETRY_AFTER, String.format(Locale.ROOT, "%.2f", retrySeconds));
     }
     return fields;
   }
--- a/server/src/main/java/org/clementinequay/server/gateway/WatchedEndPoint.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/WatchedEndPoint.java
@@ -2,12 +2,14 @@
 
 import java.io.IOException;
 import java.nio.ByteBuffer;
+import java.nio.channels.ReadPendingException;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.SocketChannel;
 import java.util.concurrent.Executor;
 import java.util.concurrent.TimeoutException;
 import org.eclipse.jetty.io.ManagedSelector;
 import org.eclipse.jetty.io.SocketChannelEndPoint;
+import org.eclipse.jetty.util.BufferUtil;
 import org.eclipse.jetty.util.Callback;
 import org.eclipse.jetty.util.thread.Scheduler;
 
@@ -22,7 +24,7 @@
 
   private final Executor executor;
   private final Object lock = new Object();
-  private final Callback dispatch = Callback.from(this::readable, this::unreadable);
+  private final Callback dispatch = Callback.from(() -> dispatch(null), this::dispatch);
   private Callback reader;
   private boolean registered;
   private Runnable onClose;
@@ -71,7 +73,7 @@
   @Override
   public void fillInterested(Callback callback) {
     if (!tryFillInterested(callback)) {
-      throw new java.nio.channels.ReadPendingException();
+      throw new ReadPendingException();
     }
   }
 
@@ -109,12 +111,12 @@
       if (kept == null) {
         return super.fill(buffer);
       }
-      int position = org.eclipse.jetty.util.BufferUtil.flipToFill(buffer);
+      int position = BufferUtil.flipToFill(buffer);
       int count = Math.min(buffer.remaining(), kept.remaining());
       ByteBuffer part = kept.slice().limit(count);
       buffer.put(part);
       kept.position(kept.position() + count);
-      org.eclipse.jetty.util.BufferUtil.flipToFlush(buffer, position);
+      BufferUtil.flipToFlush(buffer, position);
       if (!kept.hasRemaining()) {
         kept = null;
       }
@@ -122,71 +124,50 @@
     }
   }
 
-  private void readable() {
+  /** Passes a change of the connection to its reader, or to the watch if nobody reads. */
+  private void dispatch(Throwable failure) {
     Callback next;
     Runnable closed = null;
-    boolean register = false;
+    boolean again = false;
     synchronized (lock) {
       registered = false;
       next = reader;
       reader = null;
       if (next == null && onClose != null) {
-        int count = peek();
-        if (count < 0) {
+        if (ended(failure)) {
           closed = onClose;
           onClose = null;
-        } else if (count == 0) {
-          registered = true;
-          register = true;
+        } else {
+          again = kept == null;
+          registered = again;
         }
       }
     }
-    if (next != null) {
+    if (next != null && failure != null) {
+      next.failed(failure);
+    } else if (next != null) {
       next.succeeded();
     } else if (closed != null) {
       closed.run();
-    } else if (register) {
+    } else if (again) {
       super.fillInterested(dispatch);
     }
   }
 
-  private int peek() {
-    ByteBuffer buffer = org.eclipse.jetty.util.BufferUtil.allocate(PEEK_BYTES);
+  /** Returns whether the caller is gone. A connection that is only idle is not. */
+  private boolean ended(Throwable failure) {
+    if (failure != null) {
+      return !(failure instanceof TimeoutException);
+    }
+    ByteBuffer buffer = BufferUtil.allocate(PEEK_BYTES);
     try {
       int count = super.fill(buffer);
       if (count > 0) {
         kept = buffer;
       }
-      return count;
+      return count < 0;
     } catch (IOException e) {
-      return -1;
-    }
-  }
-
-  private void unreadable(Throwable cause) {
-    Callback next;
-    Runnable closed = null;
-    boolean register = false;
-    synchronized (lock) {
-      registered = false;
-      next = reader;
-      reader = null;
-      if (next == null && onClose != null) {
-        if (cause instanceof TimeoutException) {
-          registered = true;
-          register = true;
-        } else {
-          closed = onClose;
-          onClose = null;
-        }
-      }
-    }
-    if (next != null) {
-      next.failed(cause);
-    } else if (closed != null) {
-      closed.run();
-    } else if (register) {
-      super.fillInterested(dispatch);
+      return true;
     }
   }
 }
