--- a/server/src/main/java/org/clementinequay/server/gateway/GatewaySettings.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/GatewaySettings.java
@@ -29,6 +29,7 @@
  * @param retryBurst retries allowed beyond that in a window, over all hosts
  * @param retryWindowSeconds window of these two, in seconds
  * @param sessionSeconds pause in seconds after which a session has ended
+ * @param heartbeatMillis time between two heartbeats of an upstream
  */
 @JsonIgnoreProperties(ignoreUnknown = true)
 public record GatewaySettings(
@@ -48,7 +49,8 @@
     double retriesPerRequest,
     double retryBurst,
     double retryWindowSeconds,
-    double sessionSeconds) {
+    double sessionSeconds,
+    long heartbeatMillis) {
   private static final ObjectReader READER =
       JsonMapper.builder()
           .enable(JsonReadFeature.ALLOW_JAVA_COMMENTS)
@@ -76,6 +78,9 @@
     address(findings, "ready", settings.ready());
     address(findings, "peers", settings.peers());
     address(findings, "store", settings.store());
+    positive(findings, "heartbeatMillis", settings.heartbeatMillis());
+    positive(findings, "stopSeconds", settings.stopSeconds());
+    positive(findings, "retryWindowSeconds", settings.retryWindowSeconds());
     if (!findings.isEmpty()) {
       throw new InvalidSettingsException(findings);
     }
@@ -88,6 +93,12 @@
     }
   }
 
+  private static void positive(List<String> findings, String field, double value) {
+    if (!(value > 0)) {
+      findings.add(field + ": must be greater than 0: " + value);
+    }
+  }
+
   private static void address(List<String> findings, String field, String value) {
     if (value == null || !value.matches("[^:]+:[0-9]{1,5}")) {
       findings.add(field + ": is not an address of the form host:port: " + value);
--- a/server/src/main/java/org/clementinequay/server/gateway/InstanceDuty.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/InstanceDuty.java
@@ -11,7 +11,7 @@
    */
   private static final Duration INTERVAL = Duration.ofMillis(1050);
 
-  private static final Duration AFTER_FAILURE = Duration.ofMillis(250);
+  private static final Duration AFTER_FAILURE = Duration.ofMillis(150);
 
   private final Gateway gateway;
   private final PlatformView platform;
