--- a/server/src/main/java/org/clementinequay/server/gateway/GatewayHttp.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/GatewayHttp.java
@@ -19,13 +19,14 @@
   private static final int CLIENT_THREADS = 10;
   private static final int ACCEPT_QUEUE = 512;
 
-  /** Idle time of callers' connections in milliseconds, beyond what the operators configure. */
+  /** Idle time of callers' connections in milliseconds; twice what the deployments configure. */
   private static final long CALLER_IDLE_MILLIS = 30_000;
 
   /**
-   * Time to open a connection to an upstream in milliseconds; a lost packet is sent again in 1 s.
+   * Time to open a connection to an upstream in milliseconds. The farthest answers within 10 ms;
+   * one behind a cut never does, and calls with an objective of 150 ms must go elsewhere soon.
    */
-  private static final long CONNECT_MILLIS = 700;
+  private static final long CONNECT_MILLIS = 250;
 
   /** Idle time of kept upstream connections in milliseconds, below the upstreams' own time-out. */
   private static final long UPSTREAM_IDLE_MILLIS = 3000;
