End requests at their time limit by the watch that looks at them anyway

Cause: each request scheduled a timer for its limit that was never cancelled, so its body and state stayed in memory for up to 25 s after it had ended. Change: the watch, which looks at each request in progress every 100 ms, checks the limit too; the timer thread and its interface go; the grace is 100 ms, so that an answer still comes within 0.25 s of the limit. Test: the limit test advances the clock and calls the watch's check.

--- a/server/src/main/java/org/clementinequay/server/gateway/Gateway.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/Gateway.java
@@ -27,7 +27,6 @@
   final RuntimeClock clock;
   final GatewayProtocol protocol;
   final UpstreamSender sender;
-  private final Timer timer;
   final DecisionLog log;
   final RequestObserver observer;
 
@@ -51,12 +50,6 @@
   private volatile ForwardingConfiguration configuration;
   private volatile Map<String, List<UpstreamInstance>> available = Map.of();
 
-  /** Runs tasks later. */
-  public interface Timer {
-    /** Runs a task once after a delay. */
-    void after(Duration delay, Runnable task);
-  }
-
   /**
    * Creates the shared state.
    *
@@ -71,7 +64,6 @@
       RuntimeClock clock,
       GatewayProtocol protocol,
       UpstreamSender sender,
-      Timer timer,
       DecisionLog log,
       RequestObserver observer,
       RandomGenerator random,
@@ -84,7 +76,6 @@
     this.clock = clock;
     this.protocol = protocol;
     this.sender = sender;
-    this.timer = timer;
     this.log = log;
     this.observer = observer;
     this.random = random;
@@ -206,8 +197,4 @@
     return budgets.computeIfAbsent(
         service, s -> new RetryWindow(budgetWindow, retriesPerRequest, retryBalance));
   }
-
-  void schedule(Duration delay, Runnable task) {
-    timer.after(delay, task);
-  }
 }
--- a/server/src/main/java/org/clementinequay/server/gateway/GatewayHost.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/GatewayHost.java
@@ -8,9 +8,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.SplittableRandom;
-import java.util.concurrent.Executors;
-import java.util.concurrent.ScheduledExecutorService;
-import java.util.concurrent.TimeUnit;
 import org.clementinequay.core.Incarnation;
 import org.clementinequay.core.platform.HostEntry;
 import org.clementinequay.core.time.RuntimeClock;
@@ -56,7 +53,6 @@
   private final RuntimeClock clock;
   private final LineLog log;
   private final RouterMetrics metrics = new RouterMetrics();
-  private final ScheduledExecutorService timers = Executors.newSingleThreadScheduledExecutor();
   private final HttpClient client = GatewayHttp.client("upstreams");
   private final HttpClient onceClient = GatewayHttp.client("upstreams-once");
   private final Gateway gateway;
@@ -91,7 +87,6 @@
             clock,
             protocol,
             new JettySender(client, onceClient),
-            (delay, task) -> timers.schedule(task, delay.toMillis(), TimeUnit.MILLISECONDS),
             log,
             metrics::routed,
             new SplittableRandom(),
@@ -191,7 +186,6 @@
     log.record("stopped", "cut", handler.openRequests());
     duties.forEach(Duty::close);
     peers.close();
-    timers.shutdownNow();
     log.close();
   }
 }
--- a/server/src/main/java/org/clementinequay/server/gateway/GatewayRun.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/GatewayRun.java
@@ -2,7 +2,6 @@
 
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
-import java.time.Duration;
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.OptionalInt;
@@ -22,7 +21,7 @@
  */
 final class GatewayRun {
   /** Time past the limit that an upstream has to report the end by itself, in milliseconds. */
-  private static final long LIMIT_GRACE_MILLIS = 120;
+  static final long LIMIT_GRACE_MILLIS = 100;
 
   /** Time that is too short for another attempt, in milliseconds. */
   static final long SHORTEST_ATTEMPT_MILLIS = 30;
@@ -80,8 +79,6 @@
   synchronized void start() {
     gateway.active.add(this);
     gateway.requested(service);
-    long millis = Math.max(0, remainingMillis()) + LIMIT_GRACE_MILLIS;
-    gateway.schedule(Duration.ofMillis(millis), this::limitReached);
     attempt();
   }
 
@@ -96,15 +93,9 @@
     reply.abort("the caller left");
   }
 
-  /** Moves on from an upstream that makes no progress. */
-  synchronized void checkProgress(long nowNanos) {
-    if (!settled && current != null) {
-      current.checkProgress(nowNanos);
-    }
-  }
-
-  private synchronized void limitReached() {
-    if (settled) {
+  /** Ends the request if its time is over. */
+  synchronized void checkLimit() {
+    if (settled || remainingMillis() > -LIMIT_GRACE_MILLIS) {
       return;
     }
     boolean running = current != null;
@@ -112,6 +103,13 @@
     fail(running || mayHaveRun ? GATEWAY_TIMEOUT : UNAVAILABLE, "time limit");
   }
 
+  /** Moves on from an upstream that makes no progress. */
+  synchronized void checkProgress(long nowNanos) {
+    if (!settled && current != null) {
+      current.checkProgress(nowNanos);
+    }
+  }
+
   void attempt() {
     if (settled) {
       return;
--- a/server/src/main/java/org/clementinequay/server/gateway/WatchDuty.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/WatchDuty.java
@@ -2,7 +2,7 @@
 
 import java.time.Duration;
 
-/** Looks at the requests in progress for upstreams that make no progress. */
+/** Looks at the requests in progress for time limits and for upstreams that make no progress. */
 final class WatchDuty {
   private static final Duration INTERVAL = Duration.ofMillis(100);
 
@@ -35,8 +35,10 @@
     }
     started = true;
     lastNanos = now;
-    if (now - judgeFromNanos >= 0) {
-      for (GatewayRun run : gateway.active) {
+    boolean judge = now - judgeFromNanos >= 0;
+    for (GatewayRun run : gateway.active) {
+      run.checkLimit();
+      if (judge) {
         run.checkProgress(now);
       }
     }
--- a/server/src/test/java/org/clementinequay/server/gateway/GatewayFixture.java
+++ b/server/src/test/java/org/clementinequay/server/gateway/GatewayFixture.java
@@ -31,7 +31,6 @@
 
   final ManualClock clock = new ManualClock(Instant.EPOCH);
   final List<Sent> sent = new ArrayList<>();
-  final List<Runnable> timers = new ArrayList<>();
   final List<String> log = new ArrayList<>();
   final List<Integer> finished = new ArrayList<>();
   final Reply reply = new Reply();
@@ -42,7 +41,6 @@
           clock,
           new Protocol(),
           this::send,
-          (delay, task) -> timers.add(task),
           (event, fields) -> log.add(event),
           (account, route, status, reason, first, total) -> finished.add(status),
           new SplittableRandom(7),
--- a/server/src/test/java/org/clementinequay/server/gateway/GatewayRunTest.java
+++ b/server/src/test/java/org/clementinequay/server/gateway/GatewayRunTest.java
@@ -30,11 +30,12 @@
   /** Calls that may run once. */
   public static class AtMostOnce {
     private GatewayFixture fixture;
+    private GatewayRun run;
 
     @BeforeMethod
     public void start() {
       fixture = new GatewayFixture();
-      fixture.run(RequestKind.AT_MOST_ONCE, CALLER_NAMES_MODEL);
+      run = fixture.run(RequestKind.AT_MOST_ONCE, CALLER_NAMES_MODEL);
     }
 
     @Test
@@ -103,9 +104,13 @@
     @Test
     public void timeLimitEndsTheRequest() {
       fixture.clock.advance(Duration.ofSeconds(5));
-      fixture.timers.forEach(Runnable::run);
+      run.checkLimit();
+      assertFalse(fixture.last().abandoned);
+      fixture.clock.advance(Duration.ofMillis(GatewayRun.LIMIT_GRACE_MILLIS));
+      run.checkLimit();
       assertEquals(fixture.reply.status, 504);
       assertTrue(fixture.last().abandoned);
+      assertTrue(fixture.gateway.active.isEmpty());
     }
   }
 
