Drop a success that lacks the upstream's authentication code

Cause: found by reading: the code was decoded and never looked at, so a spoilt answer without one would have been passed on as a success. Change: such an answer counts as broken, like one to another request. Test: successWithoutAuthenticationCodeIsNotPassedOn.

--- a/server/src/main/java/org/clementinequay/server/gateway/GatewayAttempt.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/GatewayAttempt.java
@@ -105,12 +105,8 @@
       }
       heard();
       AnswerHead answer = gateway.protocol.decodeAnswer(status, headers);
-      boolean foreign =
-          answer.requestId().isPresent()
-              ? !answer.requestId().equals(run.request.id())
-              : answer.success();
-      if (foreign) {
-        drop("answer to another request");
+      if (!belongs(answer)) {
+        drop("answer to another request, or not authentic");
         return;
       }
       head = answer;
@@ -130,6 +126,14 @@
     }
   }
 
+  /** A success must name the request and carry the upstream's authentication code. */
+  private boolean belongs(AnswerHead answer) {
+    if (answer.requestId().isEmpty()) {
+      return !answer.success();
+    }
+    return answer.requestId().equals(run.request.id()) && (answer.sealed() || !answer.success());
+  }
+
   private boolean tooUnsure(AnswerHead answer) {
     return !run.committed
         && answer.confidence().orElse(100) < ACCEPTED_CONFIDENCE
--- a/server/src/test/java/org/clementinequay/server/gateway/GatewayFixture.java
+++ b/server/src/test/java/org/clementinequay/server/gateway/GatewayFixture.java
@@ -240,7 +240,7 @@
           Optional.ofNullable(headers.get("id")),
           headers.contains("not-run"),
           status == 421,
-          true,
+          !headers.contains("unsealed"),
           confidence == null ? OptionalInt.empty() : OptionalInt.of(Integer.parseInt(confidence)),
           headers);
     }
--- a/server/src/test/java/org/clementinequay/server/gateway/GatewayRunTest.java
+++ b/server/src/test/java/org/clementinequay/server/gateway/GatewayRunTest.java
@@ -101,6 +101,13 @@
       assertTrue(fixture.last().abandoned);
     }
 
+    @Test
+    public void successWithoutAuthenticationCodeIsNotPassedOn() {
+      HttpFields unsealed = HttpFields.build(GatewayFixture.own()).put("unsealed", "1");
+      fixture.last().answer(200, unsealed, "spoilt");
+      assertEquals(fixture.reply.status, 502);
+    }
+
     @Test
     public void timeLimitEndsTheRequest() {
       fixture.clock.advance(Duration.ofSeconds(5));
