Bound what a host remembers of upstreams, and group them in one place

Cause: found by reading: departed upstreams, health of gone ones and the shared parts of each engine were kept for ever; the list was grouped by service in two places, one of them used by tests only. Change: 256 departed, 1,024 parts an engine, health only of listed upstreams; InstanceDirectory groups.

--- a/core/src/main/java/org/clementinequay/core/dispatch/UpstreamTable.java
+++ b/core/src/main/java/org/clementinequay/core/dispatch/UpstreamTable.java
@@ -4,13 +4,13 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Set;
 import org.clementinequay.core.time.RuntimeClock;
 
 /** What this entry host knows of its upstreams: outstanding work, ejection and leaving marks. */
 public final class UpstreamTable {
   private final RuntimeClock clock;
   private final Map<String, UpstreamHealth> byName = new HashMap<>();
-
   private final Duration maxProbeAfter;
 
   /** Creates an empty table. */
@@ -93,6 +93,11 @@
     return changed;
   }
 
+  /** Forgets the upstreams that are not listed any more. */
+  public synchronized void retain(Set<String> names) {
+    byName.keySet().retainAll(names);
+  }
+
   private UpstreamHealth health(String upstream) {
     return byName.computeIfAbsent(upstream, name -> new UpstreamHealth(maxProbeAfter));
   }
--- a/core/src/main/java/org/clementinequay/core/forward/InstanceDirectory.java
+++ b/core/src/main/java/org/clementinequay/core/forward/InstanceDirectory.java
@@ -4,6 +4,7 @@
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -20,11 +21,14 @@
   /** Time without a reading that counts as an outage, in nanoseconds; two heartbeats of silence. */
   static final long OUTAGE_NANOS = 2_500_000_000L;
 
+  /** Upstreams remembered that left; an older reading of one is at most seconds late. */
+  private static final int MAX_DEPARTED = 256;
+
   /** Time after an outage in which entries come back, in nanoseconds; from the platform's page. */
   static final long RETURN_NANOS = 2_200_000_000L;
 
   private final Map<String, UpstreamInstance> instances = new HashMap<>();
-  private final Map<String, UpstreamInstance> departed = new HashMap<>();
+  private final Map<String, UpstreamInstance> departed = new LinkedHashMap<>();
   private long lastReadNanos;
   private long lenientUntilNanos;
   private boolean everRead;
@@ -51,7 +55,7 @@
           next.put(old.id(), old);
         } else {
           removed.add(old);
-          departed.put(old.id(), old);
+          remember(old);
         }
       }
     }
@@ -66,6 +70,14 @@
     return new Changes(added, removed);
   }
 
+  private void remember(UpstreamInstance left) {
+    departed.remove(left.id());
+    departed.put(left.id(), left);
+    if (departed.size() > MAX_DEPARTED) {
+      departed.remove(departed.keySet().iterator().next());
+    }
+  }
+
   private boolean mostMissing(Collection<UpstreamInstance> listed) {
     Set<String> ids = new HashSet<>();
     listed.forEach(instance -> ids.add(instance.id()));
@@ -85,20 +97,20 @@
     return instance;
   }
 
-  /** Returns the upstreams of a service that take new work. */
-  public List<UpstreamInstance> available(String service) {
-    List<UpstreamInstance> result = new ArrayList<>();
+  /** Returns the upstreams that take new work, by service. */
+  public Map<String, List<UpstreamInstance>> available() {
+    Map<String, List<UpstreamInstance>> result = new HashMap<>();
     for (UpstreamInstance instance : instances.values()) {
-      if (!instance.leaving() && instance.service().equals(service)) {
-        result.add(instance);
+      if (!instance.leaving()) {
+        result.computeIfAbsent(instance.service(), s -> new ArrayList<>()).add(instance);
       }
     }
     return result;
   }
 
-  /** Returns all upstreams of the list, leaving ones included. */
-  public List<UpstreamInstance> all() {
-    return List.copyOf(instances.values());
+  /** Returns the ids of all upstreams of the list, leaving ones included. */
+  public Set<String> ids() {
+    return Set.copyOf(instances.keySet());
   }
 
   /** Returns the age of the last reading in nanoseconds, or -1 if there was none. */
--- a/core/src/main/java/org/clementinequay/core/placement/EngineLedger.java
+++ b/core/src/main/java/org/clementinequay/core/placement/EngineLedger.java
@@ -1,7 +1,7 @@
 package org.clementinequay.core.placement;
 
 import java.util.HashMap;
-import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -11,8 +11,8 @@
  * completion time: outstanding work of this host, plus the work of the request, over the engine's
  * learned speed. An engine that holds the shared part of a prompt has less to do for it. This
  * answers a load of long shared prompts on engines of unlike speed, where the number of requests
- * says little. Telling the peers each host's work was tried and made it worse: all hosts ran to the
- * engine that the last news called free. Thread-safe.
+ * says little. The peers' work is not known here: when hosts told it each other, a burst at nine of
+ * them gathered on the engine that the last news called free. Thread-safe.
  */
 public final class EngineLedger {
   /** Weight of a new sample of an engine's pace; follows a change within about ten answers. */
@@ -23,6 +23,9 @@
 
   private static final double FASTEST = 4;
 
+  /** Shared parts remembered for each engine; the memory of one holds some hundred. */
+  private static final int MAX_PARTS = 1024;
+
   /** Advantage of the engine that all hosts prefer for a shared part that none was seen to hold. */
   private static final double PREFERRED_SHARE = 0.5;
 
@@ -50,7 +53,7 @@
     double bestMillis = 0;
     for (String name : candidates) {
       Engine engine = engine(name);
-      boolean held = sharedPart != null && engine.parts.contains(sharedPart);
+      boolean held = sharedPart != null && engine.parts.containsKey(sharedPart);
       double cold = work.millis(false);
       double millis = held ? work.millis(true) : cold;
       if (!held && name.equals(preferred)) {
@@ -73,7 +76,7 @@
     engine.own++;
     engine.ownWork += workMillis;
     if (sharedPart != null) {
-      engine.parts.add(sharedPart);
+      engine.parts.put(sharedPart, true);
     }
   }
 
@@ -157,7 +160,17 @@
   }
 
   private static final class Engine {
-    private final Set<String> parts = new HashSet<>();
+    /** Shared parts that were sent last; the engine itself drops the least recently used. */
+    private final Map<String, Boolean> parts =
+        new LinkedHashMap<>(16, 0.75f, true) {
+          private static final long serialVersionUID = 1L;
+
+          @Override
+          protected boolean removeEldestEntry(Map.Entry<String, Boolean> eldest) {
+            return size() > MAX_PARTS;
+          }
+        };
+
     private int own;
     private double ownWork;
     private double pace;
--- a/core/src/test/java/org/clementinequay/core/forward/InstanceDirectoryTest.java
+++ b/core/src/test/java/org/clementinequay/core/forward/InstanceDirectoryTest.java
@@ -15,6 +15,10 @@
     return new UpstreamInstance(id, "s", "10.0.0.1:80", "a", "v1", 4, leaving, 7);
   }
 
+  private static List<UpstreamInstance> available(InstanceDirectory directory) {
+    return directory.available().getOrDefault("s", List.of());
+  }
+
   /** Readings in steady state. */
   public static class Steady {
     private InstanceDirectory directory;
@@ -29,14 +33,14 @@
     public void missingEntryIsGoneAtOnce() {
       InstanceDirectory.Changes changes = directory.update(List.of(instance("y", false)), SECOND);
       assertEquals(changes.removed().size(), 1);
-      assertEquals(directory.available("s").size(), 1);
+      assertEquals(available(directory).size(), 1);
     }
 
     @Test
     public void leavingEntryTakesNoWorkAndNeverComesBack() {
       directory.update(List.of(instance("x", true), instance("y", false)), SECOND);
       directory.update(List.of(instance("x", false), instance("y", false)), 2 * SECOND);
-      assertEquals(directory.available("s").size(), 1);
+      assertEquals(available(directory).size(), 1);
     }
 
     @Test
@@ -45,7 +49,7 @@
       UpstreamInstance restarted =
           new UpstreamInstance("x", "s", "10.0.0.1:80", "a", "v1", 4, false, 9);
       directory.update(List.of(restarted), 2 * SECOND);
-      assertEquals(directory.available("s"), List.of(restarted));
+      assertEquals(available(directory), List.of(restarted));
     }
   }
 
@@ -62,9 +66,9 @@
 
     @Test
     public void lapsedEntryIsKeptUntilItIsBack() {
-      assertEquals(directory.available("s").size(), 1);
+      assertEquals(available(directory).size(), 1);
       directory.update(List.of(instance("x", false)), 11 * SECOND);
-      assertEquals(directory.available("s").size(), 1);
+      assertEquals(available(directory).size(), 1);
     }
 
     // Guards against work for an upstream that left while only this host was cut off.
@@ -73,15 +77,15 @@
       InstanceDirectory cut = new InstanceDirectory();
       cut.update(List.of(instance("x", false), instance("y", false), instance("z", false)), 0);
       cut.update(List.of(instance("y", false), instance("z", false)), 8 * SECOND);
-      assertEquals(cut.available("s").size(), 2);
+      assertEquals(available(cut).size(), 2);
     }
 
     @Test
     public void entryThatDoesNotComeBackIsGone() {
       directory.update(List.of(), 11 * SECOND);
-      assertEquals(directory.available("s").size(), 1);
+      assertEquals(available(directory).size(), 1);
       directory.update(List.of(), 12 * SECOND + SECOND / 4);
-      assertTrue(directory.available("s").isEmpty());
+      assertTrue(available(directory).isEmpty());
     }
   }
 }
--- a/server/src/main/java/org/clementinequay/server/gateway/Gateway.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/Gateway.java
@@ -1,9 +1,6 @@
 package org.clementinequay.server.gateway;
 
 import java.time.Duration;
-import java.util.ArrayList;
-import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -24,15 +21,15 @@
 
 /** What the requests of a host share: configuration, upstreams, their health and load, budgets. */
 public final class Gateway {
+  /** Longest pause before an ejected upstream is tried again; faults of links last seconds. */
+  private static final Duration MAX_PROBE_AFTER = Duration.ofSeconds(3);
+
   final RuntimeClock clock;
   final GatewayProtocol protocol;
   final UpstreamSender sender;
   final DecisionLog log;
   final RequestObserver observer;
 
-  /** Longest pause before an ejected upstream is tried again; faults of links last seconds. */
-  private static final Duration MAX_PROBE_AFTER = Duration.ofSeconds(3);
-
   final UpstreamTable health;
   final Set<GatewayRun> active = ConcurrentHashMap.newKeySet();
   final EngineLedger engines = new EngineLedger();
@@ -114,16 +111,9 @@
     if (changes.added().isEmpty() && changes.removed().isEmpty()) {
       return;
     }
-    Map<String, List<UpstreamInstance>> next = new HashMap<>();
-    Set<String> ids = new HashSet<>();
-    for (UpstreamInstance instance : directory.all()) {
-      ids.add(instance.id());
-      if (!instance.leaving()) {
-        next.computeIfAbsent(instance.service(), s -> new ArrayList<>()).add(instance);
-      }
-    }
-    available = next;
-    engines.retain(ids);
+    available = directory.available();
+    engines.retain(directory.ids());
+    health.retain(directory.ids());
     for (UpstreamInstance instance : changes.added()) {
       log.record(
           "upstream",
