Keep one copy of the SplitMix64 finalizer, and name the caps of the ratio test

Cause: the finalizer stood in three classes; the ratio test had a cap twice and a method named smoothed that only capped. Change: core.SplitMix64; the constants named. RendezvousHash stays apart: its digest costs too much on each request. Result: the tests of the three classes pass unchanged.

--- a/core/src/main/java/org/clementinequay/core/placement/EngineLedger.java
+++ b/core/src/main/java/org/clementinequay/core/placement/EngineLedger.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import org.clementinequay.core.SplitMix64;
 
 /**
  * Keeps the work that is outstanding on each engine and chooses the engine with the least estimated
@@ -143,7 +144,8 @@
     String best = null;
     long bestHash = 0;
     for (String name : candidates) {
-      long hash = mix(part.hashCode() * 0x9e3779b97f4a7c15L ^ mix(name.hashCode()));
+      long hash =
+          SplitMix64.mix(part.hashCode() * 0x9e3779b97f4a7c15L ^ SplitMix64.mix(name.hashCode()));
       if (best == null || hash > bestHash) {
         best = name;
         bestHash = hash;
@@ -152,13 +154,6 @@
     return best;
   }
 
-  /** Finalizer of SplitMix64. */
-  private static long mix(long value) {
-    long z = (value ^ (value >>> 30)) * 0xbf58476d1ce4e5b9L;
-    z = (z ^ (z >>> 27)) * 0x94d049bb133111ebL;
-    return z ^ (z >>> 31);
-  }
-
   private static final class Engine {
     /** Shared parts that were sent last; the engine itself drops the least recently used. */
     private final Map<String, Boolean> parts =
--- a/core/src/main/java/org/clementinequay/core/placement/EstimatedCompletionPolicy.java
+++ b/core/src/main/java/org/clementinequay/core/placement/EstimatedCompletionPolicy.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import org.clementinequay.core.SplitMix64;
 
 /**
  * Chooses the upstream with the least estimated completion time: distance, wait behind the
@@ -34,7 +35,10 @@
         bestMillis = millis;
       }
       OptionalLong key = request.affinityKey();
-      long hash = key.isPresent() ? mix(key.getAsLong() ^ mix(view.name().hashCode())) : 0;
+      long hash =
+          key.isPresent()
+              ? SplitMix64.mix(key.getAsLong() ^ SplitMix64.mix(view.name().hashCode()))
+              : 0;
       if (key.isPresent() && (preferred == null || hash > bestHash)) {
         preferred = view;
         bestHash = hash;
@@ -99,11 +103,4 @@
         .average()
         .orElse(DEFAULT_MILLIS_PER_TOKEN);
   }
-
-  /** Finalizer of SplitMix64. */
-  private static long mix(long value) {
-    long z = (value ^ (value >>> 30)) * 0xbf58476d1ce4e5b9L;
-    z = (z ^ (z >>> 27)) * 0x94d049bb133111ebL;
-    return z ^ (z >>> 31);
-  }
 }
--- a/core/src/main/java/org/clementinequay/core/rollout/SequentialRatioTest.java
+++ b/core/src/main/java/org/clementinequay/core/rollout/SequentialRatioTest.java
@@ -16,6 +16,9 @@
   /** Smallest excess over the accepted rate that must be found. */
   private static final double EXCESS = 0.2;
 
+  /** Cap of the measured rate: one of few answers must not excuse a bad version. */
+  private static final double MAX_REFERENCE_RATE = 0.4;
+
   private SequentialRatioTest() {}
 
   /**
@@ -29,15 +32,11 @@
       return false;
     }
     double reference = (referenceBad + 0.5) / (referenceAnswers + 1.0);
-    double accepted = Math.min(0.6, Math.max(ACCEPTED_RATE, RATE_FACTOR * smoothed(reference)));
+    double capped = Math.min(reference, MAX_REFERENCE_RATE);
+    double accepted = Math.max(ACCEPTED_RATE, RATE_FACTOR * capped);
     double worse = accepted + EXCESS;
     double evidence =
         bad * Math.log(worse / accepted) + (answers - bad) * Math.log((1 - worse) / (1 - accepted));
     return evidence >= -Math.log(alpha);
   }
-
-  /** A rate measured on few answers of the versions in service must not excuse a bad version. */
-  private static double smoothed(double rate) {
-    return Math.min(rate, 0.4);
-  }
 }
--- a/core/src/main/java/org/clementinequay/core/rollout/TrafficShift.java
+++ b/core/src/main/java/org/clementinequay/core/rollout/TrafficShift.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
+import org.clementinequay.core.SplitMix64;
 
 /**
  * Moves a service's traffic to another version within a fixed time: a small share until the
@@ -40,6 +41,12 @@
   /** Bound of the probability that a version that is no worse is rolled back. */
   static final double FALSE_ROLLBACKS = 0.004;
 
+  /** Increment of SplitMix64, which keeps neighbouring inputs apart. */
+  private static final long GOLDEN_GAMMA = 0x9e3779b97f4a7c15L;
+
+  private static final int UNUSED_BITS = 11;
+  private static final double UNIT = 0x1.0p-53;
+
   private final ShiftOrder order;
   private final Map<String, Evidence> byHost = new HashMap<>();
   private long startedNanos;
@@ -179,10 +186,8 @@
 
   /** Returns a number from 0 to 1 that depends on the session and the order alone. */
   private double place(String session) {
-    long z = session.hashCode() * 0x9e3779b97f4a7c15L + order.revision();
-    z = (z ^ (z >>> 30)) * 0xbf58476d1ce4e5b9L;
-    z = (z ^ (z >>> 27)) * 0x94d049bb133111ebL;
-    return ((z ^ (z >>> 31)) >>> 11) * 0x1.0p-53;
+    long mixed = SplitMix64.mix(session.hashCode() * GOLDEN_GAMMA + order.revision());
+    return (mixed >>> UNUSED_BITS) * UNIT;
   }
 
   private double part(long nowNanos) {
