--- a/server/src/main/java/org/clementinequay/server/gateway/GatewaySettings.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/GatewaySettings.java
@@ -20,10 +20,7 @@
  * @param peers address of the peers' listener
  * @param metrics port of the metrics listener
  * @param store address of the platform's store
- * @param processorShare part of a core that the host may use
- * @param memoryMegabytes memory limit of the process
- * @param maxDescriptors limit of open files and sockets
- * @param drainMillis time in which an upstream's leaving must be acted on
+ * @param processorShare part of a core that the host may use; its size relative to its peers
  * @param stopSeconds seconds from the signal to stop until the process is killed
  * @param retriesPerRequest retries allowed for each request, over all hosts
  * @param retryBurst retries allowed beyond that in a window, over all hosts
@@ -41,9 +38,6 @@
     int metrics,
     String store,
     double processorShare,
-    int memoryMegabytes,
-    int maxDescriptors,
-    long drainMillis,
     double stopSeconds,
     double retriesPerRequest,
     double retryBurst,
