Build the gateway by a builder, and give the stall rule named inputs

Cause: a newcomer had to count 12 and 8 positional arguments; addresses were split by hand in four places. Change: builder and record as the house style asks, Guava's HostAndPort for addresses.

--- a/core/src/main/java/org/clementinequay/core/dispatch/StallRule.java
+++ b/core/src/main/java/org/clementinequay/core/dispatch/StallRule.java
@@ -1,12 +1,12 @@
 package org.clementinequay.core.dispatch;
 
-import org.clementinequay.core.forward.RequestKind;
+import org.clementinequay.core.forward.Route;
 
 /**
  * Decides when an attempt that makes no progress is given up for another upstream. Answers the load
  * pattern of a cut failure domain or a dark engine that holds many streams: their connections stay
  * open and silent, and a stream that moves within its objective for pauses is still on time. An
- * engine that answers others is busy and not stalled, so its silence towards this host counts.
+ * engine from which this host still hears on other attempts is busy and not stalled.
  */
 public final class StallRule {
   /** Part of the objective for the first event after which a silent engine is given up. */
@@ -44,43 +44,49 @@
   private StallRule() {}
 
   /**
-   * Decides about one attempt.
+   * Progress of one attempt.
    *
-   * @param objectiveMillis objective for the answer or the first event; 0 if there is none
-   * @param pauseObjectiveMillis objective for pauses between events; 0 if there is none
    * @param started whether events were received
    * @param expectedFirstMillis estimated time to the first event when the attempt was sent
    * @param othersThere whether this host has other attempts at the upstream
-   * @param attemptSilenceMillis time since the attempt was sent or received its last event
+   * @param silenceMillis time since the attempt was sent or received its last event
    * @param upstreamSilenceMillis time since this host heard anything from the upstream, but not
    *     more than the age of the attempt
    */
-  public static boolean stalled(
-      RequestKind kind,
-      long objectiveMillis,
-      long pauseObjectiveMillis,
+  public record Progress(
       boolean started,
       double expectedFirstMillis,
       boolean othersThere,
-      long attemptSilenceMillis,
-      long upstreamSilenceMillis) {
-    if (!kind.repeatable()) {
+      long silenceMillis,
+      long upstreamSilenceMillis) {}
+
+  /** Returns whether an attempt of a route's request is given up. */
+  public static boolean stalled(Route route, Progress progress) {
+    if (!route.kind().repeatable()) {
       return false;
     }
-    if (!kind.streaming()) {
-      double bound = Math.max(SHORTEST_CALL_MILLIS, CALL_OBJECTIVES * objectiveMillis);
-      return attemptSilenceMillis >= bound;
-    }
-    if (!started) {
-      long objective = objectiveMillis > 0 ? objectiveMillis : DEFAULT_FIRST_EVENT_MILLIS;
-      double bound =
-          Math.min(
-              LATEST_FIRST_EVENT_PART * objective,
-              Math.max(FIRST_EVENT_PART * objective, ESTIMATE_FACTOR * expectedFirstMillis));
-      return Math.min(attemptSilenceMillis, upstreamSilenceMillis) >= bound;
+    if (!route.kind().streaming()) {
+      return progress.silenceMillis()
+          >= Math.max(SHORTEST_CALL_MILLIS, CALL_OBJECTIVES * route.objectiveMillis());
     }
-    long pause = pauseObjectiveMillis > 0 ? pauseObjectiveMillis : DEFAULT_PAUSE_MILLIS;
-    double part = othersThere ? PAUSE_PART : ONLY_STREAM_PART;
-    return attemptSilenceMillis >= part * pause && upstreamSilenceMillis >= SILENCE_PART * pause;
+    return progress.started() ? pauses(route, progress) : lacksFirstEvent(route, progress);
+  }
+
+  private static boolean lacksFirstEvent(Route route, Progress progress) {
+    long objective =
+        route.objectiveMillis() > 0 ? route.objectiveMillis() : DEFAULT_FIRST_EVENT_MILLIS;
+    double estimate = ESTIMATE_FACTOR * progress.expectedFirstMillis();
+    double bound =
+        Math.min(
+            LATEST_FIRST_EVENT_PART * objective, Math.max(FIRST_EVENT_PART * objective, estimate));
+    return Math.min(progress.silenceMillis(), progress.upstreamSilenceMillis()) >= bound;
+  }
+
+  private static boolean pauses(Route route, Progress progress) {
+    long objective =
+        route.gapObjectiveMillis() > 0 ? route.gapObjectiveMillis() : DEFAULT_PAUSE_MILLIS;
+    double part = progress.othersThere() ? PAUSE_PART : ONLY_STREAM_PART;
+    return progress.silenceMillis() >= part * objective
+        && progress.upstreamSilenceMillis() >= SILENCE_PART * objective;
   }
 }
--- a/core/src/test/java/org/clementinequay/core/dispatch/StallRuleTest.java
+++ b/core/src/test/java/org/clementinequay/core/dispatch/StallRuleTest.java
@@ -4,24 +4,29 @@
 import static org.testng.Assert.assertTrue;
 
 import org.clementinequay.core.forward.RequestKind;
+import org.clementinequay.core.forward.Route;
 import org.testng.annotations.Test;
 
 /** Guards against streams that wait for a cut engine, and against leaving one that is only busy. */
 public class StallRuleTest {
   private static final long FIRST_EVENT_MILLIS = 4000;
   private static final long PAUSE_MILLIS = 1000;
+  private static final long CALL_MILLIS = 150;
 
   private static boolean stalled(
       RequestKind kind, boolean started, long attemptSilence, long upstreamSilence) {
-    return StallRule.stalled(
-        kind,
-        FIRST_EVENT_MILLIS,
-        PAUSE_MILLIS,
-        started,
-        300,
-        true,
-        attemptSilence,
-        upstreamSilence);
+    return stalled(
+        kind, new StallRule.Progress(started, 300, true, attemptSilence, upstreamSilence));
+  }
+
+  private static boolean stalled(RequestKind kind, StallRule.Progress progress) {
+    Route route =
+        Route.builder("r")
+            .kind(kind)
+            .objectiveMillis(kind.streaming() ? FIRST_EVENT_MILLIS : CALL_MILLIS)
+            .gapObjectiveMillis(PAUSE_MILLIS)
+            .build();
+    return StallRule.stalled(route, progress);
   }
 
   /** Streams. */
@@ -42,20 +47,24 @@
     @Test
     public void longPromptsGetTheirEstimatedTime() {
       assertFalse(
-          StallRule.stalled(
-              RequestKind.RESUMABLE_STREAM, 4000, 1000, false, 1200, false, 2000, 2000));
+          stalled(
+              RequestKind.RESUMABLE_STREAM,
+              new StallRule.Progress(false, 1200, false, 2000, 2000)));
       assertTrue(
-          StallRule.stalled(
-              RequestKind.RESUMABLE_STREAM, 4000, 1000, false, 1200, false, 2500, 2500));
+          stalled(
+              RequestKind.RESUMABLE_STREAM,
+              new StallRule.Progress(false, 1200, false, 2500, 2500)));
     }
 
     // Guards against leaving an engine because its only stream pauses for the prompts of others.
     @Test
     public void onlyStreamIsGivenMoreTime() {
       assertFalse(
-          StallRule.stalled(RequestKind.RESUMABLE_STREAM, 4000, 1000, true, 300, false, 800, 800));
+          stalled(
+              RequestKind.RESUMABLE_STREAM, new StallRule.Progress(true, 300, false, 800, 800)));
       assertTrue(
-          StallRule.stalled(RequestKind.RESUMABLE_STREAM, 4000, 1000, true, 300, false, 960, 960));
+          stalled(
+              RequestKind.RESUMABLE_STREAM, new StallRule.Progress(true, 300, false, 960, 960)));
     }
 
     @Test
@@ -68,14 +77,13 @@
   public static class Calls {
     @Test
     public void idempotentCallIsRepeated() {
-      assertTrue(StallRule.stalled(RequestKind.IDEMPOTENT, 150, 0, false, 0, false, 320, 0));
-      assertFalse(StallRule.stalled(RequestKind.IDEMPOTENT, 150, 0, false, 0, false, 200, 200));
+      assertTrue(stalled(RequestKind.IDEMPOTENT, false, 320, 0));
+      assertFalse(stalled(RequestKind.IDEMPOTENT, false, 200, 200));
     }
 
     @Test
     public void callThatRunsOnceIsNeverRepeated() {
-      assertFalse(
-          StallRule.stalled(RequestKind.AT_MOST_ONCE, 150, 0, false, 0, false, 60_000, 60_000));
+      assertFalse(stalled(RequestKind.AT_MOST_ONCE, false, 60_000, 60_000));
     }
   }
 }
--- a/server/src/main/java/org/clementinequay/server/gateway/Gateway.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/Gateway.java
@@ -3,9 +3,12 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
+import java.util.SplittableRandom;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import org.clementinequay.core.dispatch.RetryWindow;
 import org.clementinequay.core.dispatch.UpstreamTable;
@@ -41,46 +44,27 @@
   private final InstanceDirectory directory = new InstanceDirectory();
   private final Map<String, TrafficShift> shifts = new ConcurrentHashMap<>();
   private final Map<String, RetryWindow> budgets = new ConcurrentHashMap<>();
-  private final double retriesPerRequest;
-  private final double retryBalance;
-  private final Duration budgetWindow;
+  private final Supplier<RetryWindow> newBudget;
   private volatile ForwardingConfiguration configuration;
   private volatile Map<String, List<UpstreamInstance>> available = Map.of();
 
-  /**
-   * Creates the shared state.
-   *
-   * @param retriesPerRequest retries and second sizes allowed for each request of a service
-   * @param retryBalance retries allowed in a burst, for this host's share of the deployment
-   * @param budgetWindow time over which requests and retries are counted
-   * @param sessionIdleTime time without a request after which a session has ended
-   */
-  public Gateway(
-      String hostName,
-      String domain,
-      RuntimeClock clock,
-      GatewayProtocol protocol,
-      UpstreamSender sender,
-      DecisionLog log,
-      RequestObserver observer,
-      RandomGenerator random,
-      double retriesPerRequest,
-      double retryBalance,
-      Duration budgetWindow,
-      Duration sessionIdleTime) {
-    this.hostName = hostName;
-    this.domain = domain;
-    this.clock = clock;
-    this.protocol = protocol;
-    this.sender = sender;
-    this.log = log;
-    this.observer = observer;
-    this.random = random;
+  private Gateway(Builder builder) {
+    this.hostName = Objects.requireNonNull(builder.hostName);
+    this.domain = Objects.requireNonNull(builder.domain);
+    this.clock = Objects.requireNonNull(builder.clock);
+    this.protocol = Objects.requireNonNull(builder.protocol);
+    this.sender = Objects.requireNonNull(builder.sender);
+    this.log = Objects.requireNonNull(builder.log);
+    this.observer = Objects.requireNonNull(builder.observer);
+    this.random = Objects.requireNonNull(builder.random);
+    this.newBudget = Objects.requireNonNull(builder.newBudget);
+    this.sessions = new SessionVersions(builder.sessionIdleTime);
     this.health = new UpstreamTable(clock, MAX_PROBE_AFTER);
-    this.retriesPerRequest = retriesPerRequest;
-    this.retryBalance = retryBalance;
-    this.budgetWindow = budgetWindow;
-    this.sessions = new SessionVersions(sessionIdleTime);
+  }
+
+  /** Returns a builder. */
+  public static Builder builder() {
+    return new Builder();
   }
 
   /** Returns the configuration in force, if one is known. */
@@ -184,7 +168,82 @@
   }
 
   private RetryWindow budget(String service) {
-    return budgets.computeIfAbsent(
-        service, s -> new RetryWindow(budgetWindow, retriesPerRequest, retryBalance));
+    return budgets.computeIfAbsent(service, s -> newBudget.get());
+  }
+
+  /** Collects the parts. */
+  public static final class Builder {
+    private String hostName;
+    private String domain;
+    private RuntimeClock clock;
+    private GatewayProtocol protocol;
+    private UpstreamSender sender;
+    private DecisionLog log;
+    private RequestObserver observer = (account, route, status, reason, first, total) -> {};
+    private RandomGenerator random = new SplittableRandom();
+    private Supplier<RetryWindow> newBudget;
+    private Duration sessionIdleTime;
+
+    private Builder() {}
+
+    /** Sets name and failure domain of the host. */
+    public Builder host(String name, String failureDomain) {
+      hostName = name;
+      domain = failureDomain;
+      return this;
+    }
+
+    /** Sets the clock. */
+    public Builder clock(RuntimeClock value) {
+      clock = value;
+      return this;
+    }
+
+    /** Sets the names and formats of callers and upstreams. */
+    public Builder protocol(GatewayProtocol value) {
+      protocol = value;
+      return this;
+    }
+
+    /** Sets the sender of attempts. */
+    public Builder sender(UpstreamSender value) {
+      sender = value;
+      return this;
+    }
+
+    /** Sets the log of decisions. */
+    public Builder log(DecisionLog value) {
+      log = value;
+      return this;
+    }
+
+    /** Sets who is told of finished requests; nobody by default. */
+    public Builder observer(RequestObserver value) {
+      observer = value;
+      return this;
+    }
+
+    /** Sets the source of random choices. */
+    public Builder random(RandomGenerator value) {
+      random = value;
+      return this;
+    }
+
+    /** Sets what makes the budget of repeats of each service. */
+    public Builder repeats(Supplier<RetryWindow> value) {
+      newBudget = value;
+      return this;
+    }
+
+    /** Sets the time without a request after which a session has ended. */
+    public Builder sessionIdleTime(Duration value) {
+      sessionIdleTime = value;
+      return this;
+    }
+
+    /** Returns the gateway. */
+    public Gateway build() {
+      return new Gateway(this);
+    }
   }
 }
--- a/server/src/main/java/org/clementinequay/server/gateway/GatewayAttempt.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/GatewayAttempt.java
@@ -56,20 +56,16 @@
   }
 
   void checkProgress(long nowNanos) {
-    long age = (nowNanos - sentNanos) / 1_000_000;
     long silence = (nowNanos - progressNanos) / 1_000_000;
-    long upstreamSilence = Math.min(age, gateway.engines.silenceMillis(instance.id(), nowNanos));
-    boolean stalled =
-        StallRule.stalled(
-            run.route.kind(),
-            run.route.objectiveMillis(),
-            run.route.gapObjectiveMillis(),
+    long upstreamSilence = Math.min(age(), gateway.engines.silenceMillis(instance.id(), nowNanos));
+    StallRule.Progress progress =
+        new StallRule.Progress(
             firstEventNanos != 0,
             choice.firstMillis(),
             gateway.engines.outstanding(instance.id()) > 1,
             silence,
             upstreamSilence);
-    if (stalled && run.tryMove()) {
+    if (StallRule.stalled(run.route, progress) && run.tryMove()) {
       moveOn("no progress for " + silence + " ms");
     }
   }
--- a/server/src/main/java/org/clementinequay/server/gateway/GatewayHost.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/GatewayHost.java
@@ -1,14 +1,15 @@
 package org.clementinequay.server.gateway;
 
 import com.google.common.flogger.FluentLogger;
+import com.google.common.net.HostAndPort;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.security.SecureRandom;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.SplittableRandom;
 import org.clementinequay.core.Incarnation;
+import org.clementinequay.core.dispatch.RetryWindow;
 import org.clementinequay.core.platform.HostEntry;
 import org.clementinequay.core.time.RuntimeClock;
 import org.clementinequay.server.metrics.RouterMetrics;
@@ -81,26 +82,23 @@
     this.clock = clock;
     this.log = log;
     this.gateway =
-        new Gateway(
-            settings.name(),
-            settings.domain(),
-            clock,
-            protocol,
-            new JettySender(client, onceClient),
-            log,
-            metrics::routed,
-            new SplittableRandom(),
-            settings.retriesPerRequest() * RETRY_SHARE,
-            settings.retryBurst() * RETRY_SHARE / ASSUMED_HOSTS,
-            Duration.ofMillis((long) (settings.retryWindowSeconds() * 1000)),
-            Duration.ofMillis((long) (settings.sessionSeconds() * 1000)));
+        Gateway.builder()
+            .host(settings.name(), settings.domain())
+            .clock(clock)
+            .protocol(protocol)
+            .sender(new JettySender(client, onceClient))
+            .log(log)
+            .observer(metrics::routed)
+            .repeats(() -> budget(settings))
+            .sessionIdleTime(seconds(settings.sessionSeconds()))
+            .build();
     this.handler = new GatewayHandler(gateway);
     this.ready = new ReadyHandler(gateway, metrics::scrape);
     this.server = GatewayHttp.server("callers", settings.callers(), handler, true);
     this.connector = (CallerConnector) server.getConnectors()[0];
     this.readyServer = GatewayHttp.server("ready", settings.ready(), ready, false);
     if (settings.metrics() > 0) {
-      String host = settings.ready().substring(0, settings.ready().lastIndexOf(':'));
+      String host = HostAndPort.fromString(settings.ready()).getHost();
       GatewayHttp.listen(readyServer, host, settings.metrics());
     }
     metrics.gauge("clementinequay_open_requests", handler::openRequests);
@@ -121,6 +119,18 @@
     duty("registration", new RegistrationDuty(registry, self, log)::step);
   }
 
+  /** Returns this host's part of the repeats that the deployment allows for a service. */
+  private static RetryWindow budget(GatewaySettings settings) {
+    return new RetryWindow(
+        seconds(settings.retryWindowSeconds()),
+        settings.retriesPerRequest() * RETRY_SHARE,
+        settings.retryBurst() * RETRY_SHARE / ASSUMED_HOSTS);
+  }
+
+  private static Duration seconds(double value) {
+    return Duration.ofMillis((long) (value * 1000));
+  }
+
   private TcpPeerNetwork network(HostRegistry registry) throws IOException {
     PeerIdentity identity =
         new PeerIdentity(
@@ -129,12 +139,9 @@
             settings.domain(),
             settings.region(),
             Math.max(MIN_WEIGHT, settings.processorShare()));
-    int colon = settings.peers().lastIndexOf(':');
+    HostAndPort address = HostAndPort.fromString(settings.peers());
     return TcpPeerNetwork.builder(identity)
-        .listen(
-            new InetSocketAddress(
-                settings.peers().substring(0, colon),
-                Integer.parseInt(settings.peers().substring(colon + 1))))
+        .listen(new InetSocketAddress(address.getHost(), address.getPort()))
         .directory(registry)
         .clock(clock)
         .timings(TIMINGS)
@@ -168,11 +175,7 @@
     handler.leave();
     clock.sleep(ACCEPT_AFTER_STOP);
     connector.close();
-    long limit =
-        start
-            + Duration.ofMillis((long) (settings.stopSeconds() * 1000))
-                .minus(STOP_MARGIN)
-                .toNanos();
+    long limit = start + seconds(settings.stopSeconds()).minus(STOP_MARGIN).toNanos();
     while (clock.nanoTime() < limit) {
       connector.closeIdle();
       if (handler.openRequests() == 0) {
--- a/server/src/main/java/org/clementinequay/server/gateway/GatewayHttp.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/GatewayHttp.java
@@ -1,5 +1,6 @@
 package org.clementinequay.server.gateway;
 
+import com.google.common.net.HostAndPort;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.client.transport.HttpClientTransportOverHTTP;
 import org.eclipse.jetty.http.HttpCompliance;
@@ -51,9 +52,9 @@
         watched
             ? new CallerConnector(server, factory)
             : new ServerConnector(server, null, null, null, 1, 1, factory);
-    int colon = address.lastIndexOf(':');
-    connector.setHost(address.substring(0, colon));
-    connector.setPort(Integer.parseInt(address.substring(colon + 1)));
+    HostAndPort bound = HostAndPort.fromString(address);
+    connector.setHost(bound.getHost());
+    connector.setPort(bound.getPort());
     connector.setIdleTimeout(CALLER_IDLE_MILLIS);
     connector.setAcceptQueueSize(ACCEPT_QUEUE);
     server.addConnector(connector);
--- a/server/src/main/java/org/clementinequay/server/gateway/InstanceDuty.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/InstanceDuty.java
@@ -5,10 +5,7 @@
 
 /** Reads the list of upstreams at a fixed interval. */
 final class InstanceDuty {
-  /**
-   * Time between two readings; a leaving upstream must take no work 2 s after it said so. A feed
-   * would return at every heartbeat of every upstream and cost more calls.
-   */
+  /** Time between two readings; a leaving upstream must take no work 2 s after it said so. */
   private static final Duration INTERVAL = Duration.ofMillis(1050);
 
   private static final Duration AFTER_FAILURE = Duration.ofMillis(150);
--- a/server/src/main/java/org/clementinequay/server/gateway/JettySender.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/JettySender.java
@@ -1,5 +1,6 @@
 package org.clementinequay.server.gateway;
 
+import com.google.common.net.HostAndPort;
 import java.util.concurrent.TimeUnit;
 import org.clementinequay.server.upstream.UpstreamCall;
 import org.clementinequay.server.upstream.UpstreamListener;
@@ -32,10 +33,10 @@
       boolean once,
       long silenceMillis,
       UpstreamListener listener) {
-    int colon = address.lastIndexOf(':');
+    HostAndPort upstream = HostAndPort.fromString(address);
     Request request =
         (once ? onceClient : client)
-            .newRequest(address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)))
+            .newRequest(upstream.getHost(), upstream.getPort())
             .scheme("http")
             .method(method)
             .path(pathQuery)
--- a/server/src/main/java/org/clementinequay/server/gateway/ShiftDuty.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/ShiftDuty.java
@@ -19,7 +19,7 @@
   /** Pause between two looks at the evidence while traffic moves. */
   private static final Duration BUSY = Duration.ofMillis(200);
 
-  /** Time between two readings of the stored states; peers tell what they stored meanwhile. */
+  /** Time between two readings of the stored states; until then a host goes by the evidence. */
   private static final long READ_INTERVAL_NANOS = 2_500_000_000L;
 
   private static final Duration AFTER_FAILURE = Duration.ofMillis(250);
--- a/server/src/test/java/org/clementinequay/server/gateway/GatewayFixture.java
+++ b/server/src/test/java/org/clementinequay/server/gateway/GatewayFixture.java
@@ -10,6 +10,7 @@
 import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.SplittableRandom;
+import org.clementinequay.core.dispatch.RetryWindow;
 import org.clementinequay.core.forward.CallerLimits;
 import org.clementinequay.core.forward.EngineProfile;
 import org.clementinequay.core.forward.ForwardingConfiguration;
@@ -35,19 +36,17 @@
   final List<Integer> finished = new ArrayList<>();
   final Reply reply = new Reply();
   final Gateway gateway =
-      new Gateway(
-          "h1",
-          "d",
-          clock,
-          new Protocol(),
-          this::send,
-          (event, fields) -> log.add(event),
-          (account, route, status, reason, first, total) -> finished.add(status),
-          new SplittableRandom(7),
-          0.5,
-          10,
-          Duration.ofSeconds(10),
-          Duration.ofSeconds(5));
+      Gateway.builder()
+          .host("h1", "d")
+          .clock(clock)
+          .protocol(new Protocol())
+          .sender(this::send)
+          .log((event, fields) -> log.add(event))
+          .observer((account, route, status, reason, first, total) -> finished.add(status))
+          .random(new SplittableRandom(7))
+          .repeats(() -> new RetryWindow(Duration.ofSeconds(10), 0.5, 10))
+          .sessionIdleTime(Duration.ofSeconds(5))
+          .build();
   boolean ended;
 
   GatewayFixture() {
