Log and count every refusal, and forget a run whose caller left before it began

Cause: found by reading: refusals without a configuration (503) and of long bodies (413) had no log line, none was in the counters, and a caller that left between the watch of its connection and the start of its run left that run in the set of active ones for ever. Change: one path for refusals; the start checks.

--- a/server/src/main/java/org/clementinequay/server/gateway/GatewayHandler.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/GatewayHandler.java
@@ -60,97 +60,91 @@
                 link.busy(false);
               }
             });
+    Reply reply = new Reply(response, counted, received);
     int maxBody =
         gateway.configuration().map(c -> c.limits().maxBodyBytes()).orElse(DEFAULT_MAX_BODY_BYTES);
     Content.Source.asByteArrayAsync(request, maxBody)
-        .whenComplete(
-            (body, failure) -> {
-              if (failure == null) {
-                start(request, body, received, new Reply(response, counted), link);
-              } else if (failure instanceof IllegalStateException
-                  || failure.getCause() instanceof IllegalStateException) {
-                refuse(new Reply(response, counted), HttpStatus.PAYLOAD_TOO_LARGE_413, "too large");
-              } else {
-                counted.failed(failure);
-              }
-            });
+        .whenComplete((body, failure) -> received(request, body, failure, reply, link));
     return true;
   }
 
+  private void received(
+      Request request, byte[] body, Throwable failure, Reply reply, WatchedEndPoint link) {
+    GatewayRequest parsed;
+    try {
+      parsed = gateway.protocol.decode(request);
+    } catch (MalformedRequestException e) {
+      reply.refuse("", HttpStatus.BAD_REQUEST_400, e.getMessage());
+      return;
+    }
+    String id = parsed.id().orElse("");
+    if (failure == null) {
+      start(parsed, body, reply, link);
+    } else if (failure instanceof IllegalStateException
+        || failure.getCause() instanceof IllegalStateException) {
+      reply.refuse(id, HttpStatus.PAYLOAD_TOO_LARGE_413, "the body is too long");
+    } else {
+      gateway.log.record("body_broken", "request", id, "reason", Failures.summary(failure));
+      reply.abort("the body could not be read");
+    }
+  }
+
   private static WatchedEndPoint endPoint(Request request) {
     EndPoint endPoint = request.getConnectionMetaData().getConnection().getEndPoint();
     return endPoint instanceof WatchedEndPoint watched ? watched : null;
   }
 
-  private void start(
-      Request request, byte[] body, long received, Reply reply, WatchedEndPoint link) {
+  private void start(GatewayRequest request, byte[] body, Reply reply, WatchedEndPoint link) {
+    String id = request.id().orElse("");
     Optional<ForwardingConfiguration> configuration = gateway.configuration();
     if (configuration.isEmpty()) {
-      refuse(reply, HttpStatus.SERVICE_UNAVAILABLE_503, "no configuration is known yet");
+      reply.refuse(id, HttpStatus.SERVICE_UNAVAILABLE_503, "no configuration is known yet");
       return;
     }
-    GatewayRequest parsed;
-    try {
-      parsed = gateway.protocol.decode(request);
-    } catch (MalformedRequestException e) {
-      gateway.log.record("malformed_request", "reason", e.getMessage());
-      refuse(reply, HttpStatus.BAD_REQUEST_400, e.getMessage());
-      return;
-    }
-    Optional<Route> route = configuration.get().routes().find(parsed.host(), parsed.path());
+    Optional<Route> route = configuration.get().routes().find(request.host(), request.path());
     if (route.isEmpty()) {
-      refuse(parsed, configuration.get(), reply, HttpStatus.NOT_FOUND_404, "no such route");
+      reply.refuse(id, HttpStatus.NOT_FOUND_404, "no such route");
       return;
     }
-    Optional<AccountKeys> account = parsed.apiKey().flatMap(configuration.get()::account);
+    Optional<AccountKeys> account = request.apiKey().flatMap(configuration.get()::account);
     boolean needsKey = configuration.get().needsKeys() && !route.get().open();
     if (needsKey && account.isEmpty()) {
-      refuse(parsed, configuration.get(), reply, HttpStatus.UNAUTHORIZED_401, "unknown API key");
+      reply.refuse(id, HttpStatus.UNAUTHORIZED_401, "unknown API key");
       return;
     }
     Runnable ended = link == null ? () -> {} : link::unwatch;
     GatewayRun run =
-        new GatewayRun(gateway, parsed, route.get(), account, body, reply, received, ended);
+        new GatewayRun(
+            gateway, request, route.get(), account, body, reply, reply.receivedNanos, ended);
     if (link != null) {
       link.watch(run::callerGone);
     }
     run.start();
   }
 
-  private void refuse(
-      GatewayRequest request,
-      ForwardingConfiguration configuration,
-      Reply reply,
-      int status,
-      String why) {
-    gateway.log.record(
-        "refused",
-        "request",
-        request.id().orElse(""),
-        "status",
-        status,
-        "reason",
-        why,
-        "configuration",
-        configuration.version());
-    refuse(reply, status, why);
-  }
-
-  private static void refuse(Reply reply, int status, String why) {
-    reply.whole(
-        status,
-        Refusals.headers(status, Refusals.DEFAULT_RETRY_SECONDS),
-        (why + "\n").getBytes(StandardCharsets.UTF_8));
-  }
-
   private final class Reply implements CallerReply {
     private final Response response;
     private final Callback callback;
     private final AtomicBoolean done = new AtomicBoolean();
+    private final long receivedNanos;
 
-    private Reply(Response response, Callback callback) {
+    private Reply(Response response, Callback callback, long receivedNanos) {
       this.response = response;
       this.callback = callback;
+      this.receivedNanos = receivedNanos;
+    }
+
+    /** Refuses a request before any attempt. */
+    private void refuse(String id, int status, String why) {
+      long version = gateway.configuration().map(ForwardingConfiguration::version).orElse(0L);
+      gateway.log.record(
+          "refused", "request", id, "status", status, "reason", why, "configuration", version);
+      long elapsed = gateway.clock.nanoTime() - receivedNanos;
+      gateway.observer.finished("", "", status, "refused", 0, elapsed);
+      whole(
+          status,
+          Refusals.headers(status, Refusals.DEFAULT_RETRY_SECONDS),
+          (why + "\n").getBytes(StandardCharsets.UTF_8));
     }
 
     @Override
--- a/server/src/main/java/org/clementinequay/server/gateway/GatewayRun.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/GatewayRun.java
@@ -77,6 +77,10 @@
   }
 
   synchronized void start() {
+    if (settled) {
+      // The caller left between the watch of its connection and this call.
+      return;
+    }
     gateway.active.add(this);
     gateway.requested(service);
     attempt();
--- a/server/src/test/java/org/clementinequay/server/gateway/GatewayFixture.java
+++ b/server/src/test/java/org/clementinequay/server/gateway/GatewayFixture.java
@@ -71,6 +71,13 @@
   }
 
   GatewayRun run(RequestKind kind, List<String> sizes) {
+    GatewayRun run = create(kind, sizes);
+    run.start();
+    return run;
+  }
+
+  /** Returns a run that has not been started. */
+  GatewayRun create(RequestKind kind, List<String> sizes) {
     Route route =
         Route.builder("route")
             .kind(kind)
@@ -97,18 +104,15 @@
             OptionalInt.empty(),
             List.of(),
             HttpFields.EMPTY);
-    GatewayRun run =
-        new GatewayRun(
-            gateway,
-            request,
-            route,
-            Optional.empty(),
-            new byte[0],
-            reply,
-            clock.nanoTime(),
-            () -> ended = true);
-    run.start();
-    return run;
+    return new GatewayRun(
+        gateway,
+        request,
+        route,
+        Optional.empty(),
+        new byte[0],
+        reply,
+        clock.nanoTime(),
+        () -> ended = true);
   }
 
   Sent last() {
--- a/server/src/test/java/org/clementinequay/server/gateway/GatewayRunTest.java
+++ b/server/src/test/java/org/clementinequay/server/gateway/GatewayRunTest.java
@@ -160,6 +160,17 @@
       assertEquals(fixture.sent.size(), 2);
     }
 
+    // Guards against a run that is kept for ever because its caller left before it began.
+    @Test
+    public void callerThatLeftBeforeTheStartLeavesNothing() {
+      GatewayFixture other = new GatewayFixture();
+      GatewayRun early = other.create(RequestKind.IDEMPOTENT, CALLER_NAMES_MODEL);
+      early.callerGone();
+      early.start();
+      assertTrue(other.sent.isEmpty());
+      assertTrue(other.gateway.active.isEmpty());
+    }
+
     @Test
     public void callerThatLeftEndsTheWork() {
       run.callerGone();
