Ask larger models for less confidence the longer answers wait

Runs of the largest model were 45 % of the sends and about nine tenths of the engine time, as the constant threshold asked it for every unsure answer also when its answer could only be late.

Ruled out: the hosts' processor time (0.09 cores at most), rejections (the engines rejected 2 in 100), the estimate of placement (two engines were left to choose from).

Change: EscalationRule lowers the confidence asked for linearly from 50 at a quarter of the objective to 0 where the larger model's first event would be late, judged by the wait just seen for the smaller answer.

--- a/server/src/main/java/org/clementinequay/server/gateway/AttemptPlacement.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/AttemptPlacement.java
@@ -54,7 +54,17 @@
 
   /** Returns the engine time of the model relative to the reference model. */
   double weight() {
-    return engine().map(profile -> profile.cost(model().orElse("")) / REFERENCE_COST).orElse(1.0);
+    return weight(model().orElse(""));
+  }
+
+  private double weight(String model) {
+    return engine().map(profile -> profile.cost(model) / REFERENCE_COST).orElse(1.0);
+  }
+
+  /** Returns the time for the largest model to read the whole prompt on an engine of mean speed. */
+  double largestModelPromptMillis() {
+    String largest = route.modelSizes().get(route.modelSizes().size() - 1);
+    return work(weight(largest)).prefillMillis(false);
   }
 
   /** Returns the tokens in an event of a stream. */
@@ -162,13 +172,13 @@
   private EngineLedger.Choice choose(List<UpstreamInstance> candidates) {
     List<String> ids = new ArrayList<>(candidates.size());
     candidates.forEach(candidate -> ids.add(candidate.id()));
-    return gateway.engines.choose(ids, work(), sharedPart());
+    return gateway.engines.choose(ids, work(weight()), sharedPart());
   }
 
-  private EngineWork work() {
+  private EngineWork work(double weight) {
     int shared = request.sharedTokens();
     return new EngineWork(
-        shared, Math.max(0, request.promptTokens() - shared), request.outputTokens(), weight());
+        shared, Math.max(0, request.promptTokens() - shared), request.outputTokens(), weight);
   }
 
   private Optional<EngineProfile> engine() {
--- a/server/src/main/java/org/clementinequay/server/gateway/GatewayAttempt.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/GatewayAttempt.java
@@ -4,6 +4,7 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.Set;
+import org.clementinequay.core.cascade.EscalationRule;
 import org.clementinequay.core.dispatch.CorruptStreamException;
 import org.clementinequay.core.dispatch.StallRule;
 import org.clementinequay.core.forward.UpstreamInstance;
@@ -18,9 +19,6 @@
   /** Largest body of an answer that is not a stream, in bytes. */
   private static final int MAX_ANSWER_BYTES = 8 << 20;
 
-  /** Confidence, 0 to 100, below which the answer of a smaller model is dropped. */
-  private static final int ACCEPTED_CONFIDENCE = 50;
-
   /** Events from which the pace of a stream is measured. */
   private static final int EVENTS_FOR_PACE = 4;
 
@@ -111,6 +109,8 @@
             "larger_model",
             "confidence",
             answer.confidence().orElse(-1),
+            "asked_for",
+            Math.round(confidenceAskedFor()),
             "model",
             run.placement.model().orElse(""));
         run.placement.useLargestModel();
@@ -132,12 +132,21 @@
 
   private boolean tooUnsure(AnswerHead answer) {
     return !run.committed
-        && answer.confidence().orElse(100) < ACCEPTED_CONFIDENCE
         && run.placement.hasLargerModel()
         && run.attempts < run.route.maxAttempts()
+        && answer.confidence().orElse(100) < confidenceAskedFor()
         && gateway.tryRepeat(run.service);
   }
 
+  private double confidenceAskedFor() {
+    return EscalationRule.confidenceAskedFor(
+        new EscalationRule.Progress(
+            run.route.objectiveMillis(),
+            run.elapsedMillis(),
+            age() - choice.firstMillis(),
+            run.placement.largestModelPromptMillis()));
+  }
+
   /** Goes on at another upstream, for which the budget was taken. */
   private void moveOn(String why) {
     run.current = null;
--- a/server/src/test/java/org/clementinequay/server/gateway/GatewayRunTest.java
+++ b/server/src/test/java/org/clementinequay/server/gateway/GatewayRunTest.java
@@ -285,6 +285,19 @@
       assertEquals(fixture.reply.body.toString(), event(1));
     }
 
+    // Guards against larger models that fill the engines of a cut failure domain with late answers.
+    @Test
+    public void unsureAnswerAfterALongWaitIsKept() {
+      GatewayFixture fixture = new GatewayFixture();
+      fixture.run(RequestKind.RESUMABLE_STREAM, List.of("small", "large"));
+      fixture.clock.advance(Duration.ofMillis(600));
+      fixture.last().head(200, "10");
+      fixture.last().content(event(1));
+      fixture.last().end();
+      assertEquals(fixture.sent.size(), 1);
+      assertEquals(fixture.reply.body.toString(), event(1));
+    }
+
     @Test
     public void sureAnswerIsKept() {
       fixture.run(RequestKind.RESUMABLE_STREAM, List.of("small", "large"));
