Keep the upstreams that served through a cut, and take back the far ones after it

Ruled out: the engines' capacity (the refused requests were not sent), the list of the cut domain during the cut (kept, as no reading succeeds).

--- a/core/src/main/java/org/clementinequay/core/dispatch/UpstreamTable.java
+++ b/core/src/main/java/org/clementinequay/core/dispatch/UpstreamTable.java
@@ -77,6 +77,21 @@
     return health(upstream).unreachable(clock.nanoTime());
   }
 
+  /**
+   * Takes back all ejected upstreams and returns how many these are. For a host that was cut off
+   * itself: what it found unreachable then says nothing about the upstreams.
+   */
+  public synchronized int readmitEjected() {
+    int readmitted = 0;
+    for (UpstreamHealth health : byName.values()) {
+      if (health.isEjected()) {
+        health.succeeded();
+        readmitted++;
+      }
+    }
+    return readmitted;
+  }
+
   /** A peer ejected the upstream. */
   public synchronized void ejectedByPeer(String upstream) {
     UpstreamHealth health = health(upstream);
--- a/core/src/test/java/org/clementinequay/core/dispatch/UpstreamTableTest.java
+++ b/core/src/test/java/org/clementinequay/core/dispatch/UpstreamTableTest.java
@@ -53,6 +53,17 @@
       assertTrue(table.tryStart(NAME));
     }
 
+    /** Guards against a host that stays without upstreams for seconds after its own cut. */
+    @Test
+    public void hostThatWasCutOffTakesBackWhatItCouldNotReach() {
+      table.unreachable(NAME);
+      assertFalse(table.tryStart(NAME));
+      assertEquals(table.readmitEjected(), 1);
+      assertTrue(table.tryStart(NAME));
+      assertTrue(table.tryStart(NAME), "second request beside the first");
+      assertEquals(table.readmitEjected(), 0);
+    }
+
     /** Guards against a pause between probes that grows without bound. */
     @Test
     public void pauseBetweenProbesIsBounded() {
--- a/server/src/main/java/org/clementinequay/server/gateway/Gateway.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/Gateway.java
@@ -27,6 +27,12 @@
   /** Longest pause before an ejected upstream is tried again; faults of links last seconds. */
   private static final Duration MAX_PROBE_AFTER = Duration.ofSeconds(3);
 
+  /**
+   * Time since the last bytes from an upstream in which it counts as serving, in milliseconds;
+   * about two times the pause between requests of one host to one upstream in a cut failure domain.
+   */
+  private static final long SERVING_MILLIS = 1000;
+
   final RuntimeClock clock;
   final GatewayProtocol protocol;
   final UpstreamSender sender;
@@ -91,7 +97,11 @@
 
   /** Takes up a reading of the list of upstreams. */
   public synchronized void listed(List<UpstreamInstance> instances) {
-    InstanceDirectory.Changes changes = directory.update(instances, clock.nanoTime());
+    long now = clock.nanoTime();
+    InstanceDirectory.Changes changes = directory.update(instances, id -> serving(id, now), now);
+    if (changes.afterOutage()) {
+      log.record("list_regained", "readmitted", health.readmitEjected());
+    }
     if (changes.added().isEmpty() && changes.removed().isEmpty()) {
       return;
     }
@@ -115,6 +125,10 @@
     }
   }
 
+  private boolean serving(String upstream, long nowNanos) {
+    return engines.silenceMillis(upstream, nowNanos) <= SERVING_MILLIS;
+  }
+
   /** Returns the age of the last reading of the list of upstreams in nanoseconds, or -1. */
   public synchronized long directoryAgeNanos() {
     return directory.ageNanos(clock.nanoTime());
--- a/server/src/test/java/org/clementinequay/server/gateway/GatewayRunTest.java
+++ b/server/src/test/java/org/clementinequay/server/gateway/GatewayRunTest.java
@@ -10,6 +10,7 @@
 import java.time.Duration;
 import java.util.List;
 import org.clementinequay.core.forward.RequestKind;
+import org.clementinequay.core.forward.UpstreamInstance;
 import org.clementinequay.core.rollout.ShiftOrder;
 import org.clementinequay.core.rollout.TrafficShift;
 import org.eclipse.jetty.http.HttpFields;
@@ -306,4 +307,26 @@
       assertEquals(fixture.sent.size(), 1);
     }
   }
+
+  /** A failure domain that was cut off and comes back. */
+  public static class AfterCut {
+    // Guards against refusals for seconds after a cut, when the near upstream's entry has expired
+    // and the far ones are ejected.
+    @Test
+    public void requestAfterTheCutIsServed() {
+      GatewayFixture fixture = new GatewayFixture();
+      List<UpstreamInstance> far =
+          List.of(GatewayFixture.instance("b"), GatewayFixture.instance("c"));
+      fixture.gateway.health.unreachable("b");
+      fixture.gateway.health.unreachable("c");
+      fixture.clock.advance(Duration.ofSeconds(5));
+      fixture.gateway.engines.heard("a", fixture.clock.nanoTime());
+      fixture.gateway.listed(far);
+      assertEquals(fixture.gateway.available("s").size(), 3);
+      assertTrue(fixture.gateway.health.available("b"));
+      fixture.clock.advance(Duration.ofMillis(2100));
+      fixture.gateway.listed(far);
+      assertEquals(fixture.gateway.available("s").size(), 2);
+    }
+  }
 }
