--- a/bench/src/main/java/org/clementinequay/bench/Main.java
+++ b/bench/src/main/java/org/clementinequay/bench/Main.java
@@ -8,6 +8,7 @@
 import org.clementinequay.bench.path.HoldStreams;
 import org.clementinequay.bench.path.PathBench;
 import org.clementinequay.bench.policy.PolicyBench;
+import org.clementinequay.server.logging.JsonLogging;
 
 /** Runs one of the measurements; started by {@code bin/bench}. */
 public final class Main {
@@ -17,6 +18,7 @@
 
   /** Runs the measurement named by the first argument. */
   public static void main(String[] args) throws Exception {
+    JsonLogging.install(System.err);
     String name = args.length == 0 ? "" : args[0];
     List<String> options = Arrays.asList(args).subList(Math.min(1, args.length), args.length);
     switch (name) {
--- a/server/src/main/java/org/clementinequay/server/Main.java
+++ b/server/src/main/java/org/clementinequay/server/Main.java
@@ -3,6 +3,7 @@
 import org.clementinequay.server.cli.CommandLine;
 import org.clementinequay.server.cli.Terminal;
 import org.clementinequay.server.entry.EntryProcess;
+import org.clementinequay.server.logging.JsonLogging;
 
 /** Entry point of the program. */
 public final class Main {
@@ -10,6 +11,7 @@
 
   /** Runs the command line and exits with its code. */
   public static void main(String[] args) {
+    JsonLogging.install(System.err);
     System.exit(new CommandLine(Terminal.system(), new EntryProcess()).run(args).number());
   }
 }
--- a/server/src/main/java/org/clementinequay/server/entry/EntryProcess.java
+++ b/server/src/main/java/org/clementinequay/server/entry/EntryProcess.java
@@ -3,7 +3,6 @@
 import com.google.common.flogger.FluentLogger;
 import java.util.SplittableRandom;
 import java.util.concurrent.CountDownLatch;
-import org.apache.logging.log4j.LogManager;
 import org.clementinequay.server.cli.EntryLauncher;
 import org.clementinequay.server.settings.Settings;
 
@@ -43,7 +42,6 @@
       logger.atSevere().withCause(e).log("graceful shutdown failed");
       code = EXIT_FAILED;
     }
-    LogManager.shutdown();
     Runtime.getRuntime().halt(code);
   }
 }
--- a/server/src/main/java/org/clementinequay/server/entry/HttpParts.java
+++ b/server/src/main/java/org/clementinequay/server/entry/HttpParts.java
@@ -2,6 +2,7 @@
 
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import org.clementinequay.server.upstream.PlainConnector;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.client.transport.HttpClientTransportOverHTTP;
 import org.eclipse.jetty.io.ClientConnector;
@@ -51,7 +52,7 @@
   }
 
   static HttpClient client(String name, int maxThreads) {
-    ClientConnector connector = new ClientConnector();
+    ClientConnector connector = new PlainConnector();
     QueuedThreadPool threads = new QueuedThreadPool(maxThreads, Math.min(8, maxThreads));
     threads.setName(name);
     connector.setExecutor(threads);
--- a/server/src/main/java/org/clementinequay/server/gateway/ResetAwareConnector.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/ResetAwareConnector.java
@@ -6,7 +6,7 @@
 import java.nio.channels.SelectionKey;
 import java.nio.channels.SocketChannel;
 import java.util.concurrent.Executor;
-import org.eclipse.jetty.io.ClientConnector;
+import org.clementinequay.server.upstream.PlainConnector;
 import org.eclipse.jetty.io.EndPoint;
 import org.eclipse.jetty.io.ManagedSelector;
 import org.eclipse.jetty.io.SelectorManager;
@@ -18,7 +18,7 @@
  * Connects to upstreams and tells a reset from the end of a connection. Jetty reports both as the
  * end, and an answer without a length that was reset on the way would look complete.
  */
-final class ResetAwareConnector extends ClientConnector {
+final class ResetAwareConnector extends PlainConnector {
   @Override
   protected SelectorManager newSelectorManager() {
     return new Selectors(getExecutor(), getScheduler(), getSelectors());
