--- a/bench/src/main/java/org/clementinequay/bench/policy/PolicyBench.java
+++ b/bench/src/main/java/org/clementinequay/bench/policy/PolicyBench.java
@@ -11,7 +11,7 @@
 /** Compares the routing policies with their baselines on a virtual clock with fixed seeds. */
 public final class PolicyBench {
   private static final String USAGE =
-      "usage: bench policy [cascade|rollout|placement|limits|all] [--seed N] [--out DIRECTORY]";
+      "usage: bench policy [cascade|escalation|rollout|placement|limits|all] [--seed N] [--out DIRECTORY]";
 
   private PolicyBench() {}
 
@@ -36,7 +36,7 @@
       return 2;
     }
     List<String> chosen = options.valuesOf(names);
-    List<String> all = List.of("cascade", "rollout", "placement", "limits");
+    List<String> all = List.of("cascade", "escalation", "rollout", "placement", "limits");
     if (chosen.isEmpty() || chosen.contains("all")) {
       chosen = all;
     }
@@ -55,6 +55,7 @@
   private static void measure(String name, Results results) throws IOException {
     switch (name) {
       case "cascade" -> new CascadeBench(results).run();
+      case "escalation" -> new EscalationBench(results).run();
       case "rollout" -> new RolloutBench(results).run();
       case "placement" -> new PlacementBench(results).run();
       case "limits" -> new LimitsBench(results).run();
