Keep the log's handlers until a graceful stop has ended

Cause: found in review. The JDK's manager removes all handlers in a shutdown hook of its own, beside the one that stops the host gracefully, so that what the stop logs is lost; Log4j had its hook switched off for the same reason.

--- a/server/src/main/java/org/clementinequay/server/logging/JsonLogging.java
+++ b/server/src/main/java/org/clementinequay/server/logging/JsonLogging.java
@@ -4,7 +4,6 @@
 import java.util.Locale;
 import java.util.logging.Handler;
 import java.util.logging.Level;
-import java.util.logging.LogManager;
 import java.util.logging.Logger;
 import java.util.logging.StreamHandler;
 
@@ -20,18 +19,27 @@
   /** Jetty tells at info what each start and stop does. */
   private static final String QUIET_LOGGER = "org.eclipse.jetty";
 
+  private static final String MANAGER_PROPERTY = "java.util.logging.manager";
+
   /** Kept, as the JDK holds loggers weakly and would forget their level. */
-  private static final Logger QUIET = Logger.getLogger(QUIET_LOGGER);
+  private static Logger quiet;
 
   private JsonLogging() {}
 
-  /** Sets up the log; standard error in production. */
-  public static void install(OutputStream out) {
-    LogManager.getLogManager().reset();
+  /**
+   * Sets up the log; standard error in production. Must precede the first use of a logger, after
+   * which the JDK does not change its manager.
+   */
+  public static synchronized void install(OutputStream out) {
+    System.setProperty(MANAGER_PROPERTY, StopSafeLogManager.class.getName());
     Level level = level(System.getProperty(LEVEL_PROPERTY, "info"));
     Logger root = Logger.getLogger("");
     root.setLevel(level);
-    QUIET.setLevel(level.intValue() > Level.WARNING.intValue() ? level : Level.WARNING);
+    for (Handler handler : root.getHandlers()) {
+      root.removeHandler(handler);
+    }
+    quiet = Logger.getLogger(QUIET_LOGGER);
+    quiet.setLevel(level.intValue() > Level.WARNING.intValue() ? level : Level.WARNING);
     Handler handler = new FlushingHandler(out);
     handler.setLevel(Level.ALL);
     root.addHandler(handler);
--- /dev/null
+++ b/server/src/test/java/org/clementinequay/server/logging/JsonLoggingTest.java
@@ -0,0 +1,57 @@
+package org.clementinequay.server.logging;
+
+import static org.testng.Assert.assertEquals;
+
+import java.io.ByteArrayOutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.logging.ConsoleHandler;
+import java.util.logging.Handler;
+import java.util.logging.LogManager;
+import java.util.logging.Logger;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Guards against lost and doubled log lines. */
+public class JsonLoggingTest {
+  private final Logger root = Logger.getLogger("");
+  private Handler[] before;
+
+  @BeforeMethod
+  public void rememberHandlers() {
+    before = root.getHandlers();
+  }
+
+  @AfterMethod
+  public void restoreHandlers() {
+    for (Handler handler : root.getHandlers()) {
+      root.removeHandler(handler);
+    }
+    for (Handler handler : before) {
+      root.addHandler(handler);
+    }
+  }
+
+  @Test
+  public void eachMessageIsOneLineOnTheGivenStream() {
+    ByteArrayOutputStream out = new ByteArrayOutputStream();
+    root.addHandler(new ConsoleHandler());
+    JsonLogging.install(out);
+    assertEquals(root.getHandlers().length, 1);
+    Logger.getLogger("org.clementinequay.test").warning("first");
+    Logger.getLogger("org.eclipse.jetty.server").info("not logged");
+    String text = out.toString(StandardCharsets.UTF_8);
+    assertEquals(text.lines().count(), 1, text);
+  }
+
+  // Guards against a graceful stop whose warnings are lost.
+  @Test
+  public void shutdownOfTheManagerKeepsTheHandlers() {
+    LogManager manager = new StopSafeLogManager();
+    Logger logger = new Logger("stopping", null) {};
+    logger.addHandler(new ConsoleHandler());
+    manager.addLogger(logger);
+    manager.reset();
+    assertEquals(logger.getHandlers().length, 1);
+  }
+}
