Keep soak runs quiet again

Cause: found in review. SoakRun switched the log off by a property that Log4j read when it was first used; JsonLogging reads it when it is installed, which nobody did for soak runs since Log4j went, so that injected faults flooded the log.

Change: SoakRun installs the log after it has set the property, under the property's one name.

A test of the level was added.

--- a/bench/src/main/java/org/clementinequay/bench/soak/SoakRun.java
+++ b/bench/src/main/java/org/clementinequay/bench/soak/SoakRun.java
@@ -5,16 +5,16 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.random.RandomGenerator;
+import org.clementinequay.server.logging.JsonLogging;
 
 /** One run of a scenario: its scheduler, platform and history, all derived from one seed. */
 public final class SoakRun implements AutoCloseable {
-  private static final String LOG_LEVEL = "clementinequay.log.level";
-
   static {
     // Injected faults would flood the log; it can still be turned on with this property.
-    if (System.getProperty(LOG_LEVEL) == null) {
-      System.setProperty(LOG_LEVEL, "off");
+    if (System.getProperty(JsonLogging.LEVEL_PROPERTY) == null) {
+      System.setProperty(JsonLogging.LEVEL_PROPERTY, "off");
     }
+    JsonLogging.install(System.err);
   }
 
   private final long seed;
--- a/server/src/test/java/org/clementinequay/server/logging/JsonLoggingTest.java
+++ b/server/src/test/java/org/clementinequay/server/logging/JsonLoggingTest.java
@@ -6,6 +6,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.logging.ConsoleHandler;
 import java.util.logging.Handler;
+import java.util.logging.Level;
 import java.util.logging.LogManager;
 import java.util.logging.Logger;
 import org.testng.annotations.AfterMethod;
@@ -16,10 +17,12 @@
 public class JsonLoggingTest {
   private final Logger root = Logger.getLogger("");
   private Handler[] before;
+  private Level level;
 
   @BeforeMethod
   public void rememberHandlers() {
     before = root.getHandlers();
+    level = root.getLevel();
   }
 
   @AfterMethod
@@ -27,6 +30,7 @@
     for (Handler handler : root.getHandlers()) {
       root.removeHandler(handler);
     }
+    root.setLevel(level);
     for (Handler handler : before) {
       root.addHandler(handler);
     }
@@ -44,6 +48,25 @@
     assertEquals(text.lines().count(), 1, text);
   }
 
+  // Guards against soak runs whose injected faults flood the log.
+  @Test
+  public void levelOfThePropertyIsUsed() {
+    ByteArrayOutputStream out = new ByteArrayOutputStream();
+    String configured = System.getProperty(JsonLogging.LEVEL_PROPERTY);
+    System.setProperty(JsonLogging.LEVEL_PROPERTY, "off");
+    try {
+      JsonLogging.install(out);
+      Logger.getLogger("org.clementinequay.test").severe("not logged");
+    } finally {
+      if (configured == null) {
+        System.clearProperty(JsonLogging.LEVEL_PROPERTY);
+      } else {
+        System.setProperty(JsonLogging.LEVEL_PROPERTY, configured);
+      }
+    }
+    assertEquals(out.size(), 0);
+  }
+
   // Guards against a graceful stop whose warnings are lost.
   @Test
   public void shutdownOfTheManagerKeepsTheHandlers() {
