Decide on repeats in one place, and compute the confidence asked for once

Cause: found in review. The conditions of another attempt (kind, attempts, time left, budget) stood in four places of the request path, one of them without the time left; the confidence that is asked for was computed for the decision and again for its log line, later by the clock; the body of a failure was built in two ways.

Change: GatewayRun.tryRepeat and Refusals.body. A larger model is now asked only with 30 ms or more left, like any other attempt.

--- a/server/src/main/java/org/clementinequay/server/gateway/GatewayAttempt.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/GatewayAttempt.java
@@ -22,6 +22,9 @@
   /** Events from which the pace of a stream is measured. */
   private static final int EVENTS_FOR_PACE = 4;
 
+  /** Confidence of an answer that states none. */
+  private static final int CERTAIN = 100;
+
   private static final int SERVER_ERROR = 500;
 
   /**
@@ -104,24 +107,34 @@
         return;
       }
       head = answer;
-      if (relaying() && tooUnsure(answer)) {
-        run.log(
-            "larger_model",
-            "confidence",
-            answer.confidence().orElse(-1),
-            "asked_for",
-            Math.round(confidenceAskedFor()),
-            "model",
-            run.placement.model().orElse(""));
-        run.placement.useLargestModel();
-        run.mayHaveRun = true;
-        run.tried.clear();
-        run.abandonCurrent("a larger model is asked");
-        run.attempt();
+      if (relaying() && !run.committed && run.placement.hasLargerModel()) {
+        escalate();
       }
     }
   }
 
+  /** Asks the largest model instead if the answer is too unsure and another attempt is allowed. */
+  private void escalate() {
+    int confidence = head.confidence().orElse(CERTAIN);
+    double askedFor = confidenceAskedFor();
+    if (confidence >= askedFor || !run.tryRepeat(false)) {
+      return;
+    }
+    run.log(
+        "larger_model",
+        "confidence",
+        confidence,
+        "asked_for",
+        Math.round(askedFor),
+        "model",
+        run.placement.model().orElse(""));
+    run.placement.useLargestModel();
+    run.mayHaveRun = true;
+    run.tried.clear();
+    run.abandonCurrent("a larger model is asked");
+    run.attempt();
+  }
+
   /** A success must name the request and carry the upstream's authentication code. */
   private boolean belongs(AnswerHead answer) {
     if (answer.requestId().isEmpty()) {
@@ -130,14 +143,6 @@
     return answer.requestId().equals(run.request.id()) && (answer.sealed() || !answer.success());
   }
 
-  private boolean tooUnsure(AnswerHead answer) {
-    return !run.committed
-        && run.placement.hasLargerModel()
-        && run.attempts < run.route.maxAttempts()
-        && answer.confidence().orElse(100) < confidenceAskedFor()
-        && gateway.tryRepeat(run.service);
-  }
-
   private double confidenceAskedFor() {
     return EscalationRule.confidenceAskedFor(
         new EscalationRule.Progress(
@@ -309,12 +314,7 @@
     observe(true);
     run.placement.failed(instance);
     run.log("upstream_failed", "upstream", instance.id(), "status", head.status());
-    boolean more =
-        run.route.kind().repeatable()
-            && run.attempts < run.route.maxAttempts()
-            && run.remainingMillis() >= GatewayRun.SHORTEST_ATTEMPT_MILLIS
-            && gateway.tryRepeat(run.service);
-    if (more) {
+    if (run.tryRepeat(true)) {
       run.attempt();
       return;
     }
@@ -327,7 +327,7 @@
       run.reply.whole(
           GatewayRun.BAD_GATEWAY,
           Refusals.headers(GatewayRun.BAD_GATEWAY, 0),
-          GatewayRun.text("the upstream failed"));
+          Refusals.body("the upstream failed"));
     } else {
       run.reply.whole(head.status(), head.returned(), collected.toByteArray());
     }
--- a/server/src/main/java/org/clementinequay/server/gateway/GatewayHandler.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/GatewayHandler.java
@@ -2,7 +2,6 @@
 
 import java.io.IOException;
 import java.nio.ByteBuffer;
-import java.nio.charset.StandardCharsets;
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
@@ -141,10 +140,7 @@
           "refused", "request", id, "status", status, "reason", why, "configuration", version);
       long elapsed = gateway.clock.nanoTime() - receivedNanos;
       gateway.observer.finished("", "", status, "refused", 0, elapsed);
-      whole(
-          status,
-          Refusals.headers(status, Refusals.DEFAULT_RETRY_SECONDS),
-          (why + "\n").getBytes(StandardCharsets.UTF_8));
+      whole(status, Refusals.headers(status, Refusals.DEFAULT_RETRY_SECONDS), Refusals.body(why));
     }
 
     @Override
--- a/server/src/main/java/org/clementinequay/server/gateway/GatewayRun.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/GatewayRun.java
@@ -1,7 +1,6 @@
 package org.clementinequay.server.gateway;
 
 import java.io.IOException;
-import java.nio.charset.StandardCharsets;
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.OptionalInt;
@@ -24,7 +23,7 @@
   static final long LIMIT_GRACE_MILLIS = 100;
 
   /** Time that is too short for another attempt, in milliseconds. */
-  static final long SHORTEST_ATTEMPT_MILLIS = 30;
+  private static final long SHORTEST_ATTEMPT_MILLIS = 30;
 
   /** Longest silence of a stream, in milliseconds; longer ones were taken for a dead connection. */
   private static final long STREAM_SILENCE_MILLIS = 5000;
@@ -212,19 +211,25 @@
 
   /** Returns whether another upstream could take over now, and takes a repeat of the budget. */
   boolean tryMove() {
-    return attempts < route.maxAttempts()
-        && remainingMillis() >= SHORTEST_ATTEMPT_MILLIS
-        && placement.possible(tried)
-        && gateway.tryRepeat(service);
+    return attemptLeft() && placement.possible(tried) && gateway.tryRepeat(service);
+  }
+
+  /**
+   * Takes a repeat of the budget if kind, route and time allow another attempt.
+   *
+   * @param afterRun whether the upstream may have run the request
+   */
+  boolean tryRepeat(boolean afterRun) {
+    return (!afterRun || route.kind().repeatable()) && attemptLeft() && gateway.tryRepeat(service);
+  }
+
+  private boolean attemptLeft() {
+    return attempts < route.maxAttempts() && remainingMillis() >= SHORTEST_ATTEMPT_MILLIS;
   }
 
   /** Tries another upstream if kind, route, budget and time allow it; otherwise fails. */
   void again(boolean afterRun, String why) {
-    boolean allowed =
-        (!afterRun || route.kind().repeatable())
-            && attempts < route.maxAttempts()
-            && remainingMillis() >= SHORTEST_ATTEMPT_MILLIS;
-    if (allowed && gateway.tryRepeat(service)) {
+    if (tryRepeat(afterRun)) {
       attempt();
       return;
     }
@@ -249,11 +254,8 @@
       reply.abort(why);
       return;
     }
-    reply.whole(status, Refusals.headers(status, Refusals.DEFAULT_RETRY_SECONDS), text(why));
-  }
-
-  static byte[] text(String why) {
-    return (why + "\n").getBytes(StandardCharsets.UTF_8);
+    reply.whole(
+        status, Refusals.headers(status, Refusals.DEFAULT_RETRY_SECONDS), Refusals.body(why));
   }
 
   void settle(int status, String reason) {
--- a/server/src/main/java/org/clementinequay/server/gateway/Refusals.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/Refusals.java
@@ -1,5 +1,6 @@
 package org.clementinequay.server.gateway;
 
+import java.nio.charset.StandardCharsets;
 import java.util.Locale;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpHeader;
@@ -13,6 +14,11 @@
 
   private Refusals() {}
 
+  /** Returns the body of a failure. */
+  static byte[] body(String why) {
+    return (why + "\n").getBytes(StandardCharsets.UTF_8);
+  }
+
   /** Returns the headers of a failure; only a refusal tells when to come back. */
   static HttpFields headers(int status, double retrySeconds) {
     HttpFields.Mutable fields = HttpFields.build().put(HttpHeader.CONTENT_TYPE, "text/plain");
