--- a/server/src/main/java/org/clementinequay/server/gateway/GatewaySettings.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/GatewaySettings.java
@@ -1,6 +1,5 @@
 package org.clementinequay.server.gateway;
 
-import com.fasterxml.jackson.annotation.JsonIgnoreProperties;
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.core.json.JsonReadFeature;
 import com.fasterxml.jackson.databind.DeserializationFeature;
@@ -27,7 +26,6 @@
  * @param retryWindowSeconds window of these two, in seconds
  * @param sessionSeconds pause in seconds after which a session has ended
  */
-@JsonIgnoreProperties(ignoreUnknown = true)
 public record GatewaySettings(
     String name,
     String domain,
