--- a/server/src/main/java/org/clementinequay/server/gateway/GatewayRun.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/GatewayRun.java
@@ -146,13 +146,14 @@
             events.lastId() > 0 ? OptionalLong.of(events.lastId()) : OptionalLong.empty());
     attempt.call =
         gateway.sender.call(
-            instance.address(),
-            request.method(),
-            request.pathQuery(),
-            gateway.protocol.attemptHeaders(request, head),
-            body,
-            !route.kind().repeatable(),
-            streaming ? Math.min(remaining, STREAM_SILENCE_MILLIS) : remaining,
+            new OutboundRequest(
+                instance.address(),
+                request.method(),
+                request.pathQuery(),
+                gateway.protocol.attemptHeaders(request, head),
+                body,
+                !route.kind().repeatable(),
+                streaming ? Math.min(remaining, STREAM_SILENCE_MILLIS) : remaining),
             attempt);
     gateway.engines.started(instance.id(), choice.workMillis(), placement.sharedPart());
     log(
--- a/server/src/main/java/org/clementinequay/server/gateway/JettySender.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/JettySender.java
@@ -8,7 +8,6 @@
 import org.eclipse.jetty.client.BytesRequestContent;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.client.Request;
-import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpHeader;
 
 /** Sends attempts with Jetty's client. */
@@ -24,32 +23,25 @@
   }
 
   @Override
-  public UpstreamTransport.Call call(
-      String address,
-      String method,
-      String pathQuery,
-      HttpFields headers,
-      byte[] body,
-      boolean once,
-      long silenceMillis,
-      UpstreamListener listener) {
-    HostAndPort upstream = HostAndPort.fromString(address);
+  public UpstreamTransport.Call call(OutboundRequest outbound, UpstreamListener listener) {
+    HostAndPort upstream = HostAndPort.fromString(outbound.address());
     Request request =
-        (once ? onceClient : client)
+        (outbound.once() ? onceClient : client)
             .newRequest(upstream.getHost(), upstream.getPort())
             .scheme("http")
-            .method(method)
-            .path(pathQuery)
-            .idleTimeout(Math.max(1, silenceMillis), TimeUnit.MILLISECONDS)
+            .method(outbound.method())
+            .path(outbound.pathQuery())
+            .idleTimeout(Math.max(1, outbound.silenceMillis()), TimeUnit.MILLISECONDS)
             .headers(
                 fields -> {
-                  fields.add(headers);
-                  if (once) {
+                  fields.add(outbound.headers());
+                  if (outbound.once()) {
                     fields.put(HttpHeader.CONNECTION, "close");
                   }
                 });
-    if (body.length > 0) {
-      request.body(new BytesRequestContent(headers.get(HttpHeader.CONTENT_TYPE), body));
+    if (outbound.body().length > 0) {
+      String type = outbound.headers().get(HttpHeader.CONTENT_TYPE);
+      request.body(new BytesRequestContent(type, outbound.body()));
     }
     return new UpstreamCall(request, listener);
   }
--- a/server/src/test/java/org/clementinequay/server/gateway/GatewayFixture.java
+++ b/server/src/test/java/org/clementinequay/server/gateway/GatewayFixture.java
@@ -119,16 +119,8 @@
     return sent.get(sent.size() - 1);
   }
 
-  private UpstreamTransport.Call send(
-      String address,
-      String method,
-      String pathQuery,
-      HttpFields headers,
-      byte[] body,
-      boolean once,
-      long silenceMillis,
-      UpstreamListener listener) {
-    Sent call = new Sent(headers, listener);
+  private UpstreamTransport.Call send(OutboundRequest request, UpstreamListener listener) {
+    Sent call = new Sent(request.headers(), listener);
     sent.add(call);
     return call;
   }
--- a/server/src/test/java/org/clementinequay/server/gateway/JettySenderTest.java
+++ b/server/src/test/java/org/clementinequay/server/gateway/JettySenderTest.java
@@ -58,13 +58,14 @@
       server.start();
       new JettySender(client, client)
           .call(
-              "127.0.0.1:" + upstream.getLocalPort(),
-              "GET",
-              "/",
-              HttpFields.EMPTY,
-              new byte[0],
-              false,
-              20_000,
+              new OutboundRequest(
+                  "127.0.0.1:" + upstream.getLocalPort(),
+                  "GET",
+                  "/",
+                  HttpFields.EMPTY,
+                  new byte[0],
+                  false,
+                  20_000),
               new Recorder(outcome, received))
           .start();
       String result = outcome.get(30, TimeUnit.SECONDS);
