Log whether a broken attempt had begun, and the shared parts of its prompt

The log of a broken attempt could not tell whether engines end under one part of the prompts, under load or by themselves: it had neither the parts nor whether an event had arrived. Logging only; nothing is decided by it.

--- a/server/src/main/java/org/clementinequay/server/gateway/GatewayAttempt.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/GatewayAttempt.java
@@ -464,7 +464,13 @@
         "ejected",
         ejected,
         "age_ms",
-        ageMillis());
+        ageMillis(),
+        "answer_begun",
+        head != null,
+        "first_event_received",
+        firstEventNanos != 0,
+        "prompt",
+        forwarder.request.sharedPartIds());
     forwarder.events.discardPartialEvent();
     forwarder.retryOrFail(
         offered ? AttemptEnd.MAY_HAVE_RUN : AttemptEnd.NOT_SENT,
--- a/server/src/main/java/org/clementinequay/server/gateway/GatewayRequest.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/GatewayRequest.java
@@ -45,6 +45,14 @@
     return shared < 0 ? Optional.empty() : Optional.of(promptParts.get(shared));
   }
 
+  /** Returns the ids of all parts but the last, in order. */
+  List<String> sharedPartIds() {
+    return promptParts.stream()
+        .limit(Math.max(0, promptParts.size() - 1))
+        .map(PromptPart::id)
+        .toList();
+  }
+
   /** Returns the number of tokens of all parts but the last. */
   int sharedTokens() {
     int sum = 0;
