Keep prompts with a part under which engines crash from the engines

Cause: an attempt that breaks is sent to the next engine, up to the limit of the route, and nothing is remembered of it. Each request with the part ends up to three engines, at each host anew. The class: a request that harms an upstream is treated like one that an upstream failed.

Change: a host that loses an attempt before its answer has begun asks whether the engine still accepts connections. If not, it tells all hosts the shared parts of the prompt. A part is kept from all engines once it explains the crash of four, at least one of them by a request that was sent after an earlier crash, and no answer with it has begun for a second (CrashLedger). Requests beside the one that crashed an engine lose their connections too: their parts are cleared by the next answer that begins, and crashes that a named part explains do not count against them. What a named part has in queues is taken back. Hosts that start learn the parts from their links, and from the store if all hosts were lost.

Ruled out: to count lost connections alone (resets on links would name sound parts); to limit the attempts of such a request (each new request would still end an engine); to refuse by caller or by the first part (sound requests share them).

--- /dev/null
+++ b/core/src/main/java/org/clementinequay/core/quarantine/CrashLedger.java
@@ -0,0 +1,183 @@
+package org.clementinequay.core.quarantine;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+/**
+ * Collects under which parts of prompts upstreams crashed, and names a part once it explains enough
+ * crashes. Requests beside the one that crashes an upstream lose their connections too, so parts of
+ * sound prompts are reported as well. Three things tell them apart: a part with which an answer has
+ * begun since is sound; upstreams that crash together for another reason take no request with them
+ * that was sent after the first of them had crashed; and a crash that a named part explains does
+ * not count against others. Thread-safe.
+ */
+public final class CrashLedger {
+  /**
+   * Crashed upstreams that a part must explain, without an answer that has begun; more than the
+   * attempts of one request.
+   */
+  public static final int CRASH_THRESHOLD = 4;
+
+  /** Time after the last of these crashes in which an answer that begins still clears the part. */
+  public static final Duration CONFIRMATION_TIME = Duration.ofSeconds(1);
+
+  /** Time for which a crash counts. */
+  static final Duration EVIDENCE_TIME = Duration.ofMinutes(5);
+
+  /** Maximum number of crashes that are kept. */
+  static final int MAX_CRASHES = 512;
+
+  /**
+   * Share of the crashes under the most implicated part from which a more specific part is named
+   * instead.
+   */
+  private static final double SPECIFIC_SHARE = 0.75;
+
+  private final Map<String, Crash> crashesByUpstream = new LinkedHashMap<>();
+  private final Map<SharedPart, Suspect> suspects = new HashMap<>();
+  private final Set<SharedPart> named = new HashSet<>();
+
+  private static final class Crash {
+    private long nanos;
+    private boolean explained;
+
+    private Crash(long nanos) {
+      this.nanos = nanos;
+    }
+  }
+
+  /** A part with the latest start of an attempt that had it, by crashed upstream. */
+  private static final class Suspect {
+    private final Map<String, Long> startNanosByUpstream = new HashMap<>();
+    private int position;
+
+    private int crashes() {
+      return startNanosByUpstream.size();
+    }
+  }
+
+  /**
+   * Records a crash that this host or a peer saw.
+   *
+   * @return whether the report tells something new
+   */
+  public synchronized boolean recordCrash(CrashReport report, long nowNanos) {
+    expire(nowNanos);
+    Crash crash =
+        crashesByUpstream.computeIfAbsent(report.upstream(), id -> new Crash(report.crashNanos()));
+    if (report.crashNanos() - crash.nanos < 0) {
+      crash.nanos = report.crashNanos();
+    }
+    List<SharedPart> parts =
+        report.partIds().stream().map(id -> new SharedPart(report.service(), id)).toList();
+    if (crash.explained) {
+      return false;
+    }
+    if (parts.stream().anyMatch(named::contains)) {
+      explain(Set.of(report.upstream()));
+      return true;
+    }
+    boolean isNews = false;
+    for (int i = 0; i < parts.size(); i++) {
+      Suspect suspect = suspects.computeIfAbsent(parts.get(i), part -> new Suspect());
+      suspect.position = Math.max(suspect.position, i);
+      isNews |= !suspect.startNanosByUpstream.containsKey(report.upstream());
+      suspect.startNanosByUpstream.merge(
+          report.upstream(), report.startNanos(), (a, b) -> a - b > 0 ? a : b);
+    }
+    return isNews;
+  }
+
+  private void expire(long nowNanos) {
+    Set<String> expired = new HashSet<>();
+    Iterator<Map.Entry<String, Crash>> oldestFirst = crashesByUpstream.entrySet().iterator();
+    while (oldestFirst.hasNext()) {
+      Map.Entry<String, Crash> oldest = oldestFirst.next();
+      boolean old = nowNanos - oldest.getValue().nanos > EVIDENCE_TIME.toNanos();
+      if (!old && crashesByUpstream.size() < MAX_CRASHES) {
+        break;
+      }
+      expired.add(oldest.getKey());
+      oldestFirst.remove();
+    }
+    forget(expired);
+  }
+
+  /** Removes crashes from the evidence against all parts. */
+  private void forget(Set<String> upstreams) {
+    if (!upstreams.isEmpty()) {
+      suspects.values().forEach(s -> s.startNanosByUpstream.keySet().removeAll(upstreams));
+      suspects.values().removeIf(suspect -> suspect.crashes() == 0);
+    }
+  }
+
+  private void explain(Set<String> upstreams) {
+    upstreams.forEach(upstream -> crashesByUpstream.get(upstream).explained = true);
+    forget(upstreams);
+  }
+
+  /**
+   * Records that an answer to a prompt with this part has begun.
+   *
+   * @return whether the part was under suspicion until then
+   */
+  public synchronized boolean clear(SharedPart part) {
+    return suspects.remove(part) != null;
+  }
+
+  /** Names the part that explains the most crashes, if there is one that explains enough. */
+  public synchronized Optional<SharedPart> nameNext(long nowNanos) {
+    Map<SharedPart, Suspect> confirmed = new HashMap<>(suspects);
+    confirmed.values().removeIf(suspect -> !isConfirmed(suspect, nowNanos));
+    int most = confirmed.values().stream().mapToInt(Suspect::crashes).max().orElse(0);
+    Optional<SharedPart> choice =
+        confirmed.entrySet().stream()
+            .filter(entry -> entry.getValue().crashes() >= SPECIFIC_SHARE * most)
+            .max(
+                Map.Entry.comparingByValue(
+                    (a, b) ->
+                        a.position != b.position
+                            ? Integer.compare(a.position, b.position)
+                            : Integer.compare(a.crashes(), b.crashes())))
+            .map(Map.Entry::getKey);
+    choice.ifPresent(this::addNamed);
+    return choice;
+  }
+
+  private boolean isConfirmed(Suspect suspect, long nowNanos) {
+    if (suspect.crashes() < CRASH_THRESHOLD) {
+      return false;
+    }
+    long[] crashAges =
+        suspect.startNanosByUpstream.keySet().stream()
+            .mapToLong(upstream -> nowNanos - crashesByUpstream.get(upstream).nanos)
+            .sorted()
+            .toArray();
+    long youngestAttemptAge =
+        suspect.startNanosByUpstream.values().stream().mapToLong(s -> nowNanos - s).min().orElse(0);
+    long firstCrashAge = crashAges[crashAges.length - 1];
+    long thresholdAge = crashAges[crashAges.length - CRASH_THRESHOLD];
+    return thresholdAge >= CONFIRMATION_TIME.toNanos() && youngestAttemptAge < firstCrashAge;
+  }
+
+  /** Takes over a part that a peer named; it explains the crashes under it. */
+  public synchronized void addNamed(SharedPart part) {
+    named.add(part);
+    Suspect suspect = suspects.remove(part);
+    if (suspect != null) {
+      explain(Set.copyOf(suspect.startNanosByUpstream.keySet()));
+    }
+  }
+
+  /** Forgets that a part was named; later crashes count against it again. */
+  public synchronized void removeNamed(SharedPart part) {
+    named.remove(part);
+  }
+}
--- a/server/src/main/java/org/clementinequay/server/gateway/Gateway.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/Gateway.java
@@ -48,6 +48,7 @@
   final EngineSelector engineSelector = new EngineSelector();
   final SessionVersions sessions;
   final SlowAnswerDetector slowAnswers = new SlowAnswerDetector();
+  final CrashGuard crashGuard;
   final RandomGenerator random;
   final String hostName;
   final String domain;
@@ -70,6 +71,7 @@
     this.budgetFactory = Objects.requireNonNull(builder.budgetFactory);
     this.sessions = new SessionVersions(builder.sessionIdleTime);
     this.health = new UpstreamHealthTracker(clock, MAX_PROBE_DELAY);
+    this.crashGuard = new CrashGuard(clock);
   }
 
   public static Builder builder() {
--- a/server/src/main/java/org/clementinequay/server/gateway/GatewayAttempt.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/GatewayAttempt.java
@@ -33,6 +33,12 @@
 
   private static final int SERVER_ERROR = 500;
 
+  /**
+   * Time after the first event from which the upstream has outlived the beginning of the answer, in
+   * nanoseconds.
+   */
+  private static final long BEGINNING_NANOS = 300_000_000L;
+
   /**
    * Statuses from which callers conclude that the request has not run. They are not passed on
    * unless the upstream stated so explicitly.
@@ -52,6 +58,7 @@
   private boolean released;
   boolean slow;
   private long lastReceivedNanos;
+  private boolean answerBegunRecorded;
 
   GatewayAttempt(
       RequestForwarder forwarder, UpstreamInstance instance, EngineSelector.Choice choice) {
@@ -237,6 +244,9 @@
         }
         recordReceived();
         relay(completeEvents, next);
+        if (isAnswerBegun()) {
+          recordAnswerBegun();
+        }
       } catch (CorruptStreamException e) {
         next.succeeded();
         abandonAndFail(e.getMessage());
@@ -255,6 +265,18 @@
     bufferedBody.writeBytes(part);
   }
 
+  /** Returns whether the upstream has outlived the beginning of the answer. */
+  private boolean isAnswerBegun() {
+    return firstEventNanos != 0 && gateway.clock.nanoTime() - firstEventNanos >= BEGINNING_NANOS;
+  }
+
+  private void recordAnswerBegun() {
+    if (!answerBegunRecorded) {
+      answerBegunRecorded = true;
+      gateway.crashGuard.answerBegun(forwarder.service, forwarder.sharedPartIds);
+    }
+  }
+
   private void relay(byte[] completeEvents, Callback next) {
     if (firstEventNanos == 0) {
       firstEventNanos = gateway.clock.nanoTime();
@@ -388,6 +410,9 @@
     forwarder.recordSessionVersion(instance);
     gateway.health.recordSuccess(instance.id());
     recordOutcome(false);
+    if (firstEventNanos != 0) {
+      recordAnswerBegun();
+    }
   }
 
   /**
@@ -470,7 +495,10 @@
         "first_event_received",
         firstEventNanos != 0,
         "prompt",
-        forwarder.request.sharedPartIds());
+        forwarder.sharedPartIds);
+    if (offered && !isAnswerBegun()) {
+      gateway.crashGuard.attemptBroken(instance, startedNanos, forwarder.sharedPartIds);
+    }
     forwarder.events.discardPartialEvent();
     forwarder.retryOrFail(
         offered ? AttemptEnd.MAY_HAVE_RUN : AttemptEnd.NOT_SENT,
--- a/server/src/main/java/org/clementinequay/server/gateway/GatewayHost.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/GatewayHost.java
@@ -107,6 +107,9 @@
         () -> gateway.configuration().map(c -> (double) c.version()).orElse(0.0));
     metrics.registerGauge(
         "clementinequay_upstream_list_age_seconds", () -> gateway.instanceListAgeNanos() / 1e9);
+    metrics.registerGauge(
+        "clementinequay_quarantined_prompt_parts",
+        () -> gateway.crashGuard.quarantinedParts().size());
     PeerIdentity identity = newIdentity(settings);
     this.peers = newPeerNetwork(identity, registry);
     addStoreTasks(platform, new StoreReaderRole(identity, peers, clock, log));
@@ -152,6 +155,10 @@
     peers.addListener(gossip);
     addTask("operator", changes::step);
     addTask("instances", instances::step);
+    CrashGuardTask crashes = new CrashGuardTask(gateway, peers::broadcast, new ConnectProbe());
+    peers.addListener(crashes);
+    addTask("crashes", crashes::step);
+    addTask("quarantine", new QuarantineStoreTask(gateway, platform, role)::step);
     addTask("rollouts", new ShiftStateTask(gateway, platform, gossip, role)::step);
   }
 
--- a/server/src/main/java/org/clementinequay/server/gateway/PlatformStore.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/PlatformStore.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import org.clementinequay.core.platform.HistoryLostException;
 import org.clementinequay.core.platform.PlatformException;
+import org.clementinequay.core.quarantine.SharedPart;
 import org.clementinequay.core.rollout.ShiftOrder;
 import org.clementinequay.core.rollout.ShiftState;
 
@@ -38,4 +39,13 @@
    */
   boolean storeShift(ShiftOrder order, ShiftState state, Optional<StoredShift> previous)
       throws PlatformException;
+
+  /** Reads the stored parts of prompts that are in quarantine; malformed entries are left out. */
+  List<SharedPart> quarantinedParts() throws PlatformException;
+
+  /** Stores that a part is in quarantine. */
+  void storeQuarantinedPart(SharedPart part) throws PlatformException;
+
+  /** Removes a part that is no longer in quarantine. */
+  void removeQuarantinedPart(SharedPart part) throws PlatformException;
 }
--- a/server/src/main/java/org/clementinequay/server/gateway/RequestForwarder.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/RequestForwarder.java
@@ -1,7 +1,9 @@
 package org.clementinequay.server.gateway;
 
 import java.io.IOException;
+import java.time.Duration;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
@@ -43,6 +45,10 @@
   private final long receivedNanos;
   private final long deadlineNanos;
   final String service;
+
+  /** Parts of the prompt that other requests may share. */
+  final List<String> sharedPartIds;
+
   final Set<String> triedIds = new HashSet<>();
   final AttemptPlacement placement;
   final EventSplitter events;
@@ -79,6 +85,7 @@
         Math.min(request.deadlineMillis().orElse(Long.MAX_VALUE), route.timeoutMillis());
     this.deadlineNanos = receivedNanos + timeoutMillis * 1_000_000;
     this.service = route.selectService(gateway.random.nextDouble());
+    this.sharedPartIds = request.sharedPartIds();
     this.placement = new AttemptPlacement(gateway, request, route, service);
     this.events = new EventSplitter(request.lastEventId().orElse(0));
   }
@@ -114,6 +121,29 @@
     fail(running || mayHaveRun ? GATEWAY_TIMEOUT : UNAVAILABLE, "time limit");
   }
 
+  /**
+   * Ends the request if a part of its prompt is in quarantine, before the upstream that has it in
+   * its queue begins the answer.
+   */
+  synchronized void endIfQuarantined() {
+    if (finished || committed) {
+      return;
+    }
+    Optional<Duration> quarantined = gateway.crashGuard.quarantined(service, sharedPartIds);
+    if (quarantined.isPresent()) {
+      mayHaveRun |= current != null;
+      abandonCurrent("a part of the prompt is in quarantine");
+      failQuarantined(quarantined.get());
+    }
+  }
+
+  private void failQuarantined(Duration remaining) {
+    fail(
+        mayHaveRun ? BAD_GATEWAY : UNAVAILABLE,
+        "upstreams crash under a part of the prompt",
+        remaining.toMillis() / 1000.0);
+  }
+
   /** Moves the request to another upstream if the current one is stalled. */
   synchronized void checkProgress(long nowNanos) {
     if (!finished && current != null) {
@@ -134,6 +164,11 @@
       fail(mayHaveRun ? GATEWAY_TIMEOUT : UNAVAILABLE, "no time is left");
       return;
     }
+    Optional<Duration> quarantined = gateway.crashGuard.quarantined(service, sharedPartIds);
+    if (quarantined.isPresent()) {
+      failQuarantined(quarantined.get());
+      return;
+    }
     Optional<AttemptPlacement.Selection> selection = placement.select(triedIds);
     if (selection.isEmpty()) {
       fail(mayHaveRun ? BAD_GATEWAY : UNAVAILABLE, "no upstream is available");
@@ -252,6 +287,10 @@
   }
 
   void fail(int status, String reason) {
+    fail(status, reason, ErrorResponses.DEFAULT_RETRY_AFTER_SECONDS);
+  }
+
+  private void fail(int status, String reason, double retryAfterSeconds) {
     log(
         "failed",
         "status",
@@ -270,9 +309,7 @@
       return;
     }
     response.sendComplete(
-        status,
-        ErrorResponses.headers(status, ErrorResponses.DEFAULT_RETRY_AFTER_SECONDS),
-        ErrorResponses.body(reason));
+        status, ErrorResponses.headers(status, retryAfterSeconds), ErrorResponses.body(reason));
   }
 
   void finish(int status, String reason) {
--- a/server/src/main/java/org/clementinequay/server/peer/PeerMessage.java
+++ b/server/src/main/java/org/clementinequay/server/peer/PeerMessage.java
@@ -26,7 +26,8 @@
   @JsonSubTypes.Type(value = PeerMessage.Counters.class, name = "counters"),
   @JsonSubTypes.Type(value = PeerMessage.ShiftNews.class, name = "shift"),
   @JsonSubTypes.Type(value = PeerMessage.UpstreamReading.class, name = "upstreams"),
-  @JsonSubTypes.Type(value = PeerMessage.OperatorReading.class, name = "operator")
+  @JsonSubTypes.Type(value = PeerMessage.OperatorReading.class, name = "operator"),
+  @JsonSubTypes.Type(value = PeerMessage.CrashNews.class, name = "crash")
 })
 public sealed interface PeerMessage {
   /** First message on a connection, in both directions. */
@@ -132,4 +133,44 @@
    * revision.
    */
   record OperatorReading(@JsonProperty("n") long newestChange) implements PeerMessage {}
+
+  /**
+   * What the sender knows about upstreams that crashed under requests.
+   *
+   * @param crashes crashes that the sender or a host of another failure domain saw
+   * @param cleared parts of prompts with which answers have begun
+   * @param quarantined parts of prompts that are kept from the upstreams
+   */
+  record CrashNews(
+      @JsonProperty("c") List<UpstreamCrash> crashes,
+      @JsonProperty("k") List<PromptPartName> cleared,
+      @JsonProperty("q") List<QuarantinedPart> quarantined)
+      implements PeerMessage {}
+
+  /**
+   * An upstream that ended before it had begun the answer to a request.
+   *
+   * @param startAgeMillis time since the request was sent, in milliseconds
+   * @param crashAgeMillis time since its connection ended, in milliseconds
+   * @param parts ids of the parts of its prompt that other requests may share, in order
+   */
+  record UpstreamCrash(
+      @JsonProperty("s") String service,
+      @JsonProperty("u") String upstream,
+      @JsonProperty("b") double startAgeMillis,
+      @JsonProperty("a") double crashAgeMillis,
+      @JsonProperty("p") List<String> parts) {}
+
+  /** Name of a part of prompts. */
+  record PromptPartName(@JsonProperty("s") String service, @JsonProperty("p") String id) {}
+
+  /**
+   * A part of prompts that is kept from the upstreams.
+   *
+   * @param remainingMillis time until this ends, in milliseconds
+   */
+  record QuarantinedPart(
+      @JsonProperty("s") String service,
+      @JsonProperty("p") String id,
+      @JsonProperty("m") long remainingMillis) {}
 }
--- /dev/null
+++ b/server/src/test/java/org/clementinequay/server/gateway/CrashGuardTest.java
@@ -0,0 +1,274 @@
+package org.clementinequay.server.gateway;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.ObjectWriter;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.TreeSet;
+import java.util.function.Predicate;
+import org.clementinequay.core.Incarnation;
+import org.clementinequay.core.forward.UpstreamInstance;
+import org.clementinequay.core.membership.LinkTopology;
+import org.clementinequay.core.membership.Member;
+import org.clementinequay.core.time.ManualClock;
+import org.clementinequay.server.peer.PeerMessage;
+import org.clementinequay.server.peer.PeerNetwork;
+import org.msgpack.jackson.dataformat.MessagePackFactory;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Guards against a part of prompts that crashes upstreams at hosts that know nothing of it. */
+public class CrashGuardTest {
+  private static final ObjectWriter WRITER =
+      new ObjectMapper(new MessagePackFactory()).writerFor(PeerMessage.class);
+  private static final long STEP_MILLIS = 50;
+  private static final String FIRST = "first";
+  private static final String BAD = "bad";
+
+  /** Hosts that are linked as in production; messages arrive at once. */
+  private static final class Cluster {
+    private final ManualClock clock = new ManualClock(Instant.EPOCH);
+    private final Map<String, Host> hosts = new LinkedHashMap<>();
+    private final SplittableRandom random = new SplittableRandom(13);
+    private final Set<String> refusing = new HashSet<>();
+    private int upstreams;
+
+    private Cluster(int hostCount, int domainCount) {
+      List<Member> members = new ArrayList<>();
+      for (int i = 0; i < hostCount; i++) {
+        members.add(new Member("front-" + i, "domain-" + i % domainCount));
+      }
+      LinkTopology topology = new LinkTopology(members);
+      members.forEach(member -> hosts.put(member.name(), new Host(this, member)));
+      for (Member member : members) {
+        for (Member target : topology.targets(member)) {
+          hosts.get(member.name()).linked.add(target.name());
+          hosts.get(target.name()).linked.add(member.name());
+        }
+      }
+    }
+
+    private Host host(int number) {
+      return hosts.get("front-" + number);
+    }
+
+    private Host anyHost() {
+      return host(random.nextInt(hosts.size()));
+    }
+
+    private void run(long millis) {
+      for (long elapsed = 0; elapsed < millis; elapsed += STEP_MILLIS) {
+        hosts.values().forEach(host -> host.task.step());
+        clock.advance(Duration.ofMillis(STEP_MILLIS));
+      }
+    }
+
+    private UpstreamInstance newUpstream(boolean crashed) {
+      String address = "10.0.0.1:" + ++upstreams;
+      if (crashed) {
+        refusing.add(address);
+      }
+      return new UpstreamInstance("u" + upstreams, "s", address, "d", "v1", 8, false, 1);
+    }
+
+    /** Lets an upstream crash that was sent requests with the prompts by hosts chosen at random. */
+    @SafeVarargs
+    private void crash(long attemptMillis, List<String>... prompts) {
+      UpstreamInstance upstream = newUpstream(true);
+      for (List<String> prompt : prompts) {
+        anyHost().breakAttempt(upstream, attemptMillis, prompt);
+      }
+    }
+
+    private long hostsThatKeep(String part) {
+      return hosts.values().stream().filter(host -> host.keeps(part)).count();
+    }
+  }
+
+  private static final class Host implements PeerBroadcast {
+    private final Cluster cluster;
+    private final Member self;
+    private final Incarnation incarnation;
+    private final Set<String> linked = new TreeSet<>();
+    private final Gateway gateway;
+    private final CrashGuardTask task;
+    private long sentBytes;
+
+    private Host(Cluster cluster, Member self) {
+      this.cluster = cluster;
+      this.self = self;
+      this.incarnation = Incarnation.random(cluster.random);
+      this.gateway = GatewayFixture.idleGateway(self.name(), self.domain(), cluster.clock);
+      this.task = new CrashGuardTask(gateway, this, cluster.refusing::contains);
+    }
+
+    private void breakAttempt(UpstreamInstance upstream, long attemptMillis, List<String> parts) {
+      long start = cluster.clock.nanoTime() - Duration.ofMillis(attemptMillis).toNanos();
+      gateway.crashGuard.attemptBroken(upstream, start, parts);
+    }
+
+    private boolean keeps(String part) {
+      return gateway.crashGuard.quarantined("s", List.of(part)).isPresent();
+    }
+
+    private PeerNetwork.Peer peer() {
+      return new PeerNetwork.Peer(incarnation, self.name(), self.domain(), "r", 1, 0, 0, false);
+    }
+
+    @Override
+    public long broadcast(PeerMessage message, Predicate<PeerNetwork.Peer> receivers) {
+      long bytes = 0;
+      try {
+        int messageBytes = WRITER.writeValueAsBytes(message).length;
+        for (String name : linked) {
+          Host receiver = cluster.hosts.get(name);
+          if (receivers.test(receiver.peer())) {
+            receiver.task.received(peer(), message);
+            bytes += messageBytes;
+          }
+        }
+      } catch (IOException e) {
+        throw new UncheckedIOException(e);
+      }
+      sentBytes += bytes;
+      return bytes;
+    }
+  }
+
+  /** A part that crashes upstreams, seen by hosts chosen at random. */
+  public static class Spread {
+    private static final long STABLE_WINDOW_MILLIS = 3000;
+
+    @DataProvider
+    public Object[][] sizes() {
+      return new Object[][] {{1, 1}, {6, 3}, {88, 3}, {330, 7}};
+    }
+
+    @Test(dataProvider = "sizes")
+    public void everyHostKeepsThePartInTime(int hostCount, int domainCount) {
+      Cluster cluster = new Cluster(hostCount, domainCount);
+      for (int i = 0; i < 5; i++) {
+        cluster.crash(100, List.of(FIRST, BAD), List.of(FIRST, "beside-" + i % 3));
+        cluster.run(150);
+      }
+      cluster.run(STABLE_WINDOW_MILLIS);
+      assertEquals(cluster.hostsThatKeep(BAD), hostCount);
+      assertEquals(cluster.hostsThatKeep(FIRST), 0);
+    }
+
+    @Test
+    public void hostThatIsLinkedLaterKeepsThePart() {
+      Cluster cluster = new Cluster(6, 3);
+      Host late = new Host(cluster, new Member("front-6", "domain-0"));
+      crashInSeries(cluster);
+      cluster.hosts.put("front-6", late);
+      late.linked.add("front-0");
+      cluster.host(0).linked.add("front-6");
+      cluster.host(0).task.linked(late.peer());
+      assertTrue(late.keeps(BAD));
+    }
+
+    // Guards against a host that lost the messages because its links were cut for a moment.
+    @Test
+    public void hostThatLostTheMessagesHearsOfThePartAgain() {
+      Cluster cluster = new Cluster(6, 3);
+      Set<String> links = new TreeSet<>(cluster.host(5).linked);
+      cluster.hosts.values().forEach(host -> host.linked.remove("front-5"));
+      crashInSeries(cluster);
+      assertEquals(cluster.hostsThatKeep(BAD), 5);
+      links.forEach(name -> cluster.hosts.get(name).linked.add("front-5"));
+      cluster.run(2100);
+      assertEquals(cluster.hostsThatKeep(BAD), 6);
+    }
+
+    private static void crashInSeries(Cluster cluster) {
+      for (int i = 0; i < 5; i++) {
+        UpstreamInstance upstream = cluster.newUpstream(true);
+        cluster.host(i % 5).breakAttempt(upstream, 100, List.of(FIRST, BAD));
+        cluster.run(150);
+      }
+      cluster.run(1100);
+    }
+  }
+
+  /** Prompts that do no harm. */
+  public static class SoundPrompts {
+    private Cluster cluster;
+
+    @BeforeMethod
+    public void create() {
+      cluster = new Cluster(88, 3);
+    }
+
+    // Replays resets on links: the connections of many attempts end, and the upstreams live on.
+    @Test
+    public void lostConnectionsAreNoCrashes() {
+      for (int i = 0; i < 40; i++) {
+        cluster.anyHost().breakAttempt(cluster.newUpstream(false), 100, List.of(FIRST, "sound"));
+        cluster.run(150);
+      }
+      cluster.run(1100);
+      assertEquals(cluster.hostsThatKeep("sound"), 0);
+    }
+
+    // Replays the crash of a quarter of 63 upstreams, each of which had a popular prompt in its
+    // queue at several hosts.
+    @Test
+    public void crashOfManyUpstreamsAtOnceKeepsNoPartAndFewBytes() {
+      cluster.run(1000);
+      for (int i = 0; i < 16; i++) {
+        UpstreamInstance upstream = cluster.newUpstream(true);
+        for (int request = 0; request < 8; request++) {
+          List<String> prompt = List.of(FIRST, "subject-" + cluster.random.nextInt(40));
+          cluster.anyHost().breakAttempt(upstream, 50 + 10 * request, prompt);
+        }
+      }
+      cluster.run(2000);
+      assertEquals(
+          cluster.hosts.values().stream()
+              .mapToInt(host -> host.gateway.crashGuard.quarantinedParts().size())
+              .sum(),
+          0);
+      for (Host host : cluster.hosts.values()) {
+        assertTrue(host.sentBytes <= 2 * 25_000, host.self.name() + " sent " + host.sentBytes);
+      }
+    }
+
+    @Test
+    public void answerThatBeginsAtAnyHostClearsThePartEverywhere() {
+      for (int i = 0; i < 5; i++) {
+        cluster.crash(100, List.of(FIRST, BAD));
+        cluster.run(150);
+      }
+      cluster.host(17).gateway.crashGuard.answerBegun("s", List.of(FIRST, BAD));
+      cluster.run(3000);
+      assertEquals(cluster.hostsThatKeep(BAD), 0);
+    }
+
+    @Test
+    public void answerInProgressLiftsTheQuarantineEverywhere() {
+      for (int i = 0; i < 5; i++) {
+        cluster.crash(100, List.of(FIRST, BAD));
+        cluster.run(150);
+      }
+      cluster.run(1100);
+      assertEquals(cluster.hostsThatKeep(BAD), 88);
+      cluster.host(17).gateway.crashGuard.answerBegun("s", List.of(FIRST, BAD));
+      cluster.run(3000);
+      assertEquals(cluster.hostsThatKeep(BAD), 0);
+    }
+  }
+}
--- a/server/src/test/java/org/clementinequay/server/gateway/GatewayFixture.java
+++ b/server/src/test/java/org/clementinequay/server/gateway/GatewayFixture.java
@@ -47,6 +47,7 @@
           .retryBudgets(() -> new RetryWindow(Duration.ofSeconds(10), 0.5, 10))
           .sessionIdleTime(Duration.ofSeconds(5))
           .build();
+  List<PromptPart> promptParts = List.of();
   boolean finishedCallbackRun;
 
   GatewayFixture() {
@@ -115,7 +116,7 @@
             10,
             10,
             OptionalInt.empty(),
-            List.of(),
+            promptParts,
             HttpFields.EMPTY);
     return new RequestForwarder(
         gateway,
--- a/server/src/test/java/org/clementinequay/server/gateway/RequestForwarderTest.java
+++ b/server/src/test/java/org/clementinequay/server/gateway/RequestForwarderTest.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import org.clementinequay.core.forward.RequestKind;
 import org.clementinequay.core.forward.UpstreamInstance;
+import org.clementinequay.core.quarantine.SharedPart;
 import org.clementinequay.core.rollout.ShiftOrder;
 import org.clementinequay.core.rollout.TrafficShift;
 import org.eclipse.jetty.http.HttpFields;
@@ -386,4 +387,101 @@
       assertEquals(fixture.gateway.available("s").size(), 2);
     }
   }
+
+  /** Requests with a part of the prompt under which upstreams crash. */
+  public static class CrashingParts {
+    private static final SharedPart BAD = new SharedPart("s", "bad");
+    private static final Duration QUARANTINE = Duration.ofSeconds(60);
+
+    private GatewayFixture fixture;
+
+    @BeforeMethod
+    public void create() {
+      fixture = new GatewayFixture();
+      fixture.clock.advance(Duration.ofMillis(1));
+      fixture.promptParts =
+          List.of(new PromptPart("first", 5), new PromptPart("bad", 5), new PromptPart("own", 5));
+    }
+
+    private RequestForwarder start() {
+      return fixture.start(RequestKind.RESUMABLE_STREAM, CALLER_NAMES_MODEL);
+    }
+
+    private List<CrashGuard.BrokenAttempt> reported() {
+      return fixture.gateway.crashGuard.takeBroken();
+    }
+
+    @Test
+    public void requestWithAQuarantinedPartIsRefusedAtOnceAsNotRun() {
+      fixture.gateway.crashGuard.quarantine(BAD, QUARANTINE);
+      start();
+      assertEquals(fixture.sent.size(), 0);
+      assertEquals(fixture.response.status, 503);
+      assertEquals(fixture.response.headers.get(HttpHeader.RETRY_AFTER), "60.00");
+    }
+
+    @Test
+    public void requestWithTheSameOwnPartIsSent() {
+      fixture.gateway.crashGuard.quarantine(new SharedPart("s", "own"), QUARANTINE);
+      start();
+      assertEquals(fixture.sent.size(), 1);
+    }
+
+    @Test
+    public void requestThatWaitsAtAnUpstreamIsTakenBack() {
+      RequestForwarder forwarder = start();
+      fixture.gateway.crashGuard.quarantine(BAD, QUARANTINE);
+      forwarder.endIfQuarantined();
+      assertTrue(fixture.lastAttempt().abandoned);
+      assertEquals(fixture.response.status, 502);
+    }
+
+    @Test
+    public void streamThatHasBegunGoesOn() {
+      RequestForwarder forwarder = start();
+      fixture.lastAttempt().sendHead(200);
+      fixture.lastAttempt().sendContent(event(1));
+      fixture.gateway.crashGuard.quarantine(BAD, QUARANTINE);
+      forwarder.endIfQuarantined();
+      fixture.lastAttempt().sendContent(event(2));
+      fixture.lastAttempt().endResponse();
+      assertTrue(fixture.response.complete);
+      assertFalse(fixture.gateway.crashGuard.quarantined("s", List.of("bad")).isPresent());
+    }
+
+    @Test
+    public void brokenRequestIsNotSentToAnotherUpstream() {
+      start();
+      fixture.gateway.crashGuard.quarantine(BAD, QUARANTINE);
+      fixture.lastAttempt().fail(true);
+      assertEquals(fixture.sent.size(), 1);
+      assertEquals(fixture.response.status, 502);
+    }
+
+    @Test
+    public void attemptThatBreaksAtItsFirstEventIsReportedWithItsSharedParts() {
+      start();
+      fixture.lastAttempt().sendHead(200);
+      fixture.lastAttempt().sendContent(event(1));
+      fixture.lastAttempt().fail(true);
+      assertEquals(reported().get(0).report().partIds(), List.of("first", "bad"));
+    }
+
+    @Test
+    public void attemptThatBreaksLaterIsNotReported() {
+      start();
+      fixture.lastAttempt().sendHead(200);
+      fixture.lastAttempt().sendContent(event(1));
+      fixture.clock.advance(Duration.ofMillis(400));
+      fixture.lastAttempt().fail(true);
+      assertEquals(reported(), List.of());
+    }
+
+    @Test
+    public void unreachableUpstreamIsNotReported() {
+      start();
+      fixture.lastAttempt().fail(false);
+      assertEquals(reported(), List.of());
+    }
+  }
 }
--- a/server/src/test/java/org/clementinequay/server/gateway/StoreRelayTest.java
+++ b/server/src/test/java/org/clementinequay/server/gateway/StoreRelayTest.java
@@ -22,6 +22,7 @@
 import org.clementinequay.core.forward.UpstreamInstance;
 import org.clementinequay.core.platform.PlatformException;
 import org.clementinequay.core.platform.PlatformUnavailableException;
+import org.clementinequay.core.quarantine.SharedPart;
 import org.clementinequay.core.rollout.ShiftOrder;
 import org.clementinequay.core.rollout.ShiftState;
 import org.clementinequay.core.spread.ReadSchedule;
@@ -254,6 +255,21 @@
       throw new UnsupportedOperationException();
     }
 
+    @Override
+    public List<SharedPart> quarantinedParts() {
+      throw new UnsupportedOperationException();
+    }
+
+    @Override
+    public void storeQuarantinedPart(SharedPart part) {
+      throw new UnsupportedOperationException();
+    }
+
+    @Override
+    public void removeQuarantinedPart(SharedPart part) {
+      throw new UnsupportedOperationException();
+    }
+
     @Override
     public boolean storeShift(ShiftOrder order, ShiftState state, Optional<StoredShift> previous) {
       throw new UnsupportedOperationException();
