Test that slow readers do not keep leaving upstreams in use

88 hosts in virtual time, of which the readers of the store send what they have read 1.2 to 2.6 s late: too soon for the links to be given up. Listed as known red until the fix.

--- a/server/src/test/java/org/clementinequay/server/gateway/StoreRelayTest.java
+++ b/server/src/test/java/org/clementinequay/server/gateway/StoreRelayTest.java
@@ -49,13 +49,21 @@
     private final SplittableRandom random = new SplittableRandom(5);
     private final Set<String> refused = new HashSet<>();
     private final Map<String, UpstreamInstance> upstreams = new LinkedHashMap<>();
-    private final StoreReadTimings timings =
-        new StoreReadTimings(DRAIN_MILLIS, CONFIGURATION_MILLIS);
+    private final List<Delivery> deliveries = new ArrayList<>();
+    private final StoreReadTimings timings;
     private long revision = 1;
     private long operatorRevision = 1;
     private long calls;
 
+    /** A message on its way. */
+    private record Delivery(long atNanos, Host from, Host to, PeerMessage message) {}
+
     private Cluster(int hostCount, int domainCount) {
+      this(hostCount, domainCount, DRAIN_MILLIS, CONFIGURATION_MILLIS);
+    }
+
+    private Cluster(int hostCount, int domainCount, long drainMillis, long configurationMillis) {
+      timings = new StoreReadTimings(drainMillis, configurationMillis);
       for (int i = 0; i < UPSTREAMS; i++) {
         upstreams.put("u" + i, upstream("u" + i, false));
       }
@@ -88,12 +96,20 @@
         if (condition.getAsBoolean()) {
           return elapsed;
         }
+        deliverDue();
         hosts.values().forEach(Host::step);
         clock.advance(Duration.ofMillis(TICK_MILLIS));
       }
       return maxMillis;
     }
 
+    private void deliverDue() {
+      List<Delivery> due =
+          deliveries.stream().filter(d -> clock.nanoTime() - d.atNanos() >= 0).toList();
+      deliveries.removeAll(due);
+      due.forEach(delivery -> delivery.to().receive(delivery.from(), delivery.message()));
+    }
+
     private List<Host> active() {
       return hosts.values().stream().filter(host -> !host.frozen).toList();
     }
@@ -120,6 +136,7 @@
     private long changesAtNanos;
     private long waitNanos;
     private boolean frozen;
+    private long delayMillis;
 
     private Host(Cluster cluster, String name, String domain) {
       this.cluster = cluster;
@@ -195,13 +212,22 @@
     private long broadcast(PeerMessage message, Predicate<Peer> receivers) {
       for (Host other : cluster.hosts.values()) {
         if (other != this && !other.frozen && receivers.test(other.peer())) {
-          other.instances.received(peer(), message);
-          other.changes.received(peer(), message);
+          if (delayMillis == 0) {
+            other.receive(this, message);
+          } else {
+            long atNanos = cluster.clock.nanoTime() + Duration.ofMillis(delayMillis).toNanos();
+            cluster.deliveries.add(new Cluster.Delivery(atNanos, this, other, message));
+          }
         }
       }
       return 0;
     }
 
+    private void receive(Host from, PeerMessage message) {
+      instances.received(from.peer(), message);
+      changes.received(from.peer(), message);
+    }
+
     @Override
     public boolean send(Incarnation to, PeerMessage message) {
       throw new UnsupportedOperationException();
@@ -358,6 +384,30 @@
       assertChangesArriveInTime();
     }
 
+    @DataProvider
+    public Object[][] delays() {
+      return new Object[][] {{2000, 1200}, {3000, 1700}, {4000, 2600}};
+    }
+
+    // Replays readers that run slowly or have slow links: what they send was true when they read it
+    // and arrives late, but too soon for the links to be given up.
+    @Test(dataProvider = "delays", groups = "known-red")
+    public void reachEveryHostInTimeWhileTheReadersAreSlow(long allowedMillis, long delayMillis) {
+      Cluster slow = new Cluster(88, 3, allowedMillis, allowedMillis);
+      slow.run(5000);
+      slow.readers().forEach(host -> host.delayMillis = delayMillis);
+      for (int i = 0; i < 16; i++) {
+        slow.run(4000 + 100 * i);
+        String leaving = "u" + i;
+        slow.leave(leaving);
+        long drain =
+            slow.runUntil(
+                () -> slow.hosts.values().stream().allMatch(host -> host.knowsLeaving(leaving)),
+                10_000);
+        assertTrue(drain < allowedMillis, "upstream left after " + drain + " ms");
+      }
+    }
+
     // Guards against hosts that keep polling after the readers are back.
     @Test
     public void hostsStopReadingOnceTheReadersAreBack() {
