Date what peers read from the store by the read, not by the arrival

What callers saw: requests that were sent to engines after these had announced their leaving (DRAIN, on a landing whose hosts were too busy to read the list in time). The same effect is possible on the present code.

Cause: a host that hears of a reading of the list of upstreams counts the list as fresh from the arrival of the message. While readers run slowly or their links are slow, each message is 1 to 4 s old when it arrives, the host does not read itself, and uses upstreams that have left. The class: an age that is measured where knowledge arrives, not where it arises. The same holds for the operator's changes, and for own reads that take long.

Change: a reading carries the time of the store's steady clock; each host translates it by its own reads (StoreClock), never to a later time, so that a late message is counted as old and the host reads itself. Both followers of the store and own reads are dated so.

Ruled out: shorter intervals (more calls, and the delay remains); ending links earlier (heartbeats are delayed by less than their timeout, 4 s).

StoreRelayTest.reachEveryHostInTimeWhileTheReadersAreSlow failed before with 2200, 3200 and 4200 ms of 2000, 3000 and 4000 allowed, and passes; the tests of the number of calls are unchanged and pass.

--- a/core/src/main/java/org/clementinequay/core/platform/TableSnapshot.java
+++ b/core/src/main/java/org/clementinequay/core/platform/TableSnapshot.java
@@ -7,8 +7,10 @@
  *
  * @param rows rows of the table
  * @param revision revision of the table, after which changes can be requested
+ * @param storeMillis time at which the rows were current, by the steady clock of the store in
+ *     milliseconds; 0 if it states none
  */
-public record TableSnapshot(List<Row> rows, long revision) {
+public record TableSnapshot(List<Row> rows, long revision, long storeMillis) {
   /** Copies the list of rows. */
   public TableSnapshot {
     rows = List.copyOf(rows);
--- a/core/src/main/java/org/clementinequay/core/spread/ReadSchedule.java
+++ b/core/src/main/java/org/clementinequay/core/spread/ReadSchedule.java
@@ -36,12 +36,16 @@
     this.maxAgeNanos = maxAge.toNanos();
   }
 
-  /** Records that this host read the table itself. */
-  public synchronized void recordRead(long nowNanos) {
+  /**
+   * Records that this host read the table itself.
+   *
+   * @param readNanos time at which the rows were current, or an earlier one
+   */
+  public synchronized void recordRead(long readNanos) {
     hasRead = true;
     behind = false;
-    lastReadNanos = nowNanos;
-    confirmedNanos = nowNanos;
+    lastReadNanos = readNanos;
+    confirmedNanos = readNanos;
     backOffNanos = 0;
   }
 
--- a/server/src/main/java/org/clementinequay/server/gateway/GatewayHost.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/GatewayHost.java
@@ -13,6 +13,7 @@
 import org.clementinequay.core.dispatch.RetryWindow;
 import org.clementinequay.core.platform.HostEntry;
 import org.clementinequay.core.spread.ReadSchedule;
+import org.clementinequay.core.spread.StoreClock;
 import org.clementinequay.core.spread.StoreReadTimings;
 import org.clementinequay.core.time.RuntimeClock;
 import org.clementinequay.server.metrics.RouterMetrics;
@@ -134,6 +135,7 @@
   private void addStoreTasks(PlatformStore platform, StoreReaderRole role) {
     StoreReadTimings timings =
         new StoreReadTimings(settings.drainMillis(), settings.configurationMillis());
+    StoreClock storeClock = new StoreClock();
     OperatorChangeTask changes =
         new OperatorChangeTask(
             gateway,
@@ -141,6 +143,7 @@
             role,
             peers::broadcast,
             new ReadSchedule(Duration.ZERO, timings.operatorMaxAge()),
+            storeClock,
             timings.operatorMaxWait());
     InstanceListTask instances =
         new InstanceListTask(
@@ -148,7 +151,8 @@
             platform,
             role,
             peers::broadcast,
-            new ReadSchedule(timings.upstreamInterval(), timings.upstreamMaxAge()));
+            new ReadSchedule(timings.upstreamInterval(), timings.upstreamMaxAge()),
+            storeClock);
     ShiftGossip gossip = new ShiftGossip(gateway, peers::broadcast);
     peers.addListener(changes);
     peers.addListener(instances);
--- a/server/src/main/java/org/clementinequay/server/gateway/InstanceListTask.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/InstanceListTask.java
@@ -4,6 +4,7 @@
 import org.clementinequay.core.forward.UpstreamListing;
 import org.clementinequay.core.platform.PlatformException;
 import org.clementinequay.core.spread.ReadSchedule;
+import org.clementinequay.core.spread.StoreClock;
 import org.clementinequay.server.peer.PeerMessage;
 import org.clementinequay.server.peer.PeerNetwork;
 
@@ -22,6 +23,7 @@
   private final PeerBroadcast links;
   private final DependencyStatusLog dependency;
   private final ReadSchedule schedule;
+  private final StoreClock storeClock;
   private final UpstreamListing listing = new UpstreamListing();
 
   InstanceListTask(
@@ -29,12 +31,14 @@
       PlatformStore platform,
       StoreReaderRole role,
       PeerBroadcast links,
-      ReadSchedule schedule) {
+      ReadSchedule schedule,
+      StoreClock storeClock) {
     this.gateway = gateway;
     this.platform = platform;
     this.role = role;
     this.links = links;
     this.schedule = schedule;
+    this.storeClock = storeClock;
     this.dependency = new DependencyStatusLog("list of upstreams", gateway.log);
   }
 
@@ -44,9 +48,10 @@
       return Duration.ofNanos(Math.min(untilRead, CHECK_INTERVAL.toNanos()));
     }
     try {
+      long requestNanos = gateway.clock.nanoTime();
       InstanceReading reading = platform.instances();
-      long readNanos = gateway.clock.nanoTime();
-      apply(reading, readNanos);
+      storeClock.observe(reading.storeMillis(), requestNanos);
+      apply(reading, requestNanos);
       dependency.succeeded();
     } catch (PlatformException e) {
       schedule.recordFailure(gateway.clock.nanoTime());
@@ -63,21 +68,22 @@
     }
     UpstreamListing.Update update = listing.replace(reading.instances(), reading.revision());
     gateway.updateInstances(listing.instances());
-    links.broadcast(new PeerMessage.UpstreamReading(update), role::isNear);
+    links.broadcast(new PeerMessage.UpstreamReading(update, reading.storeMillis()), role::isNear);
   }
 
   @Override
   public void received(PeerNetwork.Peer from, PeerMessage message) {
     if (message instanceof PeerMessage.UpstreamReading reading && role.isNear(from)) {
-      apply(from, reading.update());
+      apply(from, reading.update(), reading.storeMillis());
     }
   }
 
-  private synchronized void apply(PeerNetwork.Peer from, UpstreamListing.Update update) {
+  private synchronized void apply(
+      PeerNetwork.Peer from, UpstreamListing.Update update, long storeMillis) {
     UpstreamListing.Outcome outcome = listing.apply(update);
     if (outcome == UpstreamListing.Outcome.CURRENT) {
       gateway.updateInstances(listing.instances());
-      schedule.recordConfirmation(gateway.clock.nanoTime());
+      schedule.recordConfirmation(storeClock.toHostNanos(storeMillis, gateway.clock.nanoTime()));
     } else if (outcome == UpstreamListing.Outcome.GAP) {
       gateway.log.record("list_gap", "reader", from.host(), "revision", update.revision());
       schedule.recordBehind();
--- a/server/src/main/java/org/clementinequay/server/gateway/OperatorChangeTask.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/OperatorChangeTask.java
@@ -5,6 +5,7 @@
 import org.clementinequay.core.platform.PlatformException;
 import org.clementinequay.core.rollout.ShiftOrder;
 import org.clementinequay.core.spread.ReadSchedule;
+import org.clementinequay.core.spread.StoreClock;
 import org.clementinequay.server.peer.PeerMessage;
 import org.clementinequay.server.peer.PeerNetwork;
 
@@ -23,6 +24,7 @@
   private final PeerBroadcast links;
   private final DependencyStatusLog dependency;
   private final ReadSchedule schedule;
+  private final StoreClock storeClock;
   private final Duration maxWait;
   private long cursor = -1;
   private volatile long newestChange;
@@ -39,12 +41,14 @@
       StoreReaderRole role,
       PeerBroadcast links,
       ReadSchedule schedule,
+      StoreClock storeClock,
       Duration maxWait) {
     this.gateway = gateway;
     this.platform = platform;
     this.role = role;
     this.links = links;
     this.schedule = schedule;
+    this.storeClock = storeClock;
     this.maxWait = maxWait;
     this.dependency = new DependencyStatusLog("operator feed", gateway.log);
   }
@@ -66,9 +70,10 @@
       }
       cursor = state.cursor();
       newestChange = Math.max(newestChange, state.newestChange());
-      schedule.recordRead(gateway.clock.nanoTime());
+      schedule.recordRead(storeClock.toHostNanos(state.storeMillis(), gateway.clock.nanoTime()));
       dependency.succeeded();
-      links.broadcast(new PeerMessage.OperatorReading(newestChange), role::isNear);
+      links.broadcast(
+          new PeerMessage.OperatorReading(newestChange, state.storeMillis()), role::isNear);
     } catch (HistoryLostException e) {
       gateway.log.record("history_lost", "cursor", cursor, "reason", e.getMessage());
       cursor = -1;
@@ -85,7 +90,8 @@
       if (reading.newestChange() > newestChange) {
         schedule.recordBehind();
       } else if (reading.newestChange() == newestChange) {
-        schedule.recordConfirmation(gateway.clock.nanoTime());
+        schedule.recordConfirmation(
+            storeClock.toHostNanos(reading.storeMillis(), gateway.clock.nanoTime()));
       }
     }
   }
--- a/server/src/main/java/org/clementinequay/server/gateway/OperatorState.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/OperatorState.java
@@ -12,9 +12,11 @@
  * @param orders orders to shift traffic to other versions
  * @param cursor position from which later changes can be awaited
  * @param newestChange revision of the newest change among them; 0 if there is none
+ * @param storeMillis time of the reading by the store's clock, in milliseconds; 0 if unknown
  */
 public record OperatorState(
     Optional<ForwardingConfiguration> configuration,
     List<ShiftOrder> orders,
     long cursor,
-    long newestChange) {}
+    long newestChange,
+    long storeMillis) {}
--- a/server/src/main/java/org/clementinequay/server/peer/PeerMessage.java
+++ b/server/src/main/java/org/clementinequay/server/peer/PeerMessage.java
@@ -125,14 +125,23 @@
       @JsonProperty("e") long errors,
       @JsonProperty("s") long slow) {}
 
-  /** What changed in the list of upstreams that the sender has just read from the store. */
-  record UpstreamReading(@JsonProperty("u") UpstreamListing.Update update) implements PeerMessage {}
+  /**
+   * What changed in the list of upstreams that the sender has just read from the store.
+   *
+   * @param storeMillis time of the read by the store's clock, in milliseconds; 0 if unknown
+   */
+  record UpstreamReading(
+      @JsonProperty("u") UpstreamListing.Update update, @JsonProperty("m") long storeMillis)
+      implements PeerMessage {}
 
   /**
    * The sender has just heard from the store that nothing was written by the operator after this
    * revision.
+   *
+   * @param storeMillis time of the read by the store's clock, in milliseconds; 0 if unknown
    */
-  record OperatorReading(@JsonProperty("n") long newestChange) implements PeerMessage {}
+  record OperatorReading(@JsonProperty("n") long newestChange, @JsonProperty("m") long storeMillis)
+      implements PeerMessage {}
 
   /**
    * What the sender knows about upstreams that crashed under requests.
--- a/server/src/test/java/org/clementinequay/server/gateway/StoreRelayTest.java
+++ b/server/src/test/java/org/clementinequay/server/gateway/StoreRelayTest.java
@@ -26,6 +26,7 @@
 import org.clementinequay.core.rollout.ShiftOrder;
 import org.clementinequay.core.rollout.ShiftState;
 import org.clementinequay.core.spread.ReadSchedule;
+import org.clementinequay.core.spread.StoreClock;
 import org.clementinequay.core.spread.StoreReadTimings;
 import org.clementinequay.core.time.ManualClock;
 import org.clementinequay.server.peer.PeerIdentity;
@@ -86,6 +87,11 @@
       operatorRevision = ++revision;
     }
 
+    /** Returns the time of the store's clock, which is not that of the hosts. */
+    private long storeMillis() {
+      return clock.nanoTime() / 1_000_000 + 77_000;
+    }
+
     private void run(long millis) {
       runUntil(() -> false, millis);
     }
@@ -150,6 +156,7 @@
               this,
               cluster.clock,
               (event, fields) -> {});
+      StoreClock storeClock = new StoreClock();
       this.instances =
           new InstanceListTask(
               gateway,
@@ -157,7 +164,8 @@
               role,
               this::broadcast,
               new ReadSchedule(
-                  cluster.timings.upstreamInterval(), cluster.timings.upstreamMaxAge()));
+                  cluster.timings.upstreamInterval(), cluster.timings.upstreamMaxAge()),
+              storeClock);
       this.changes =
           new OperatorChangeTask(
               gateway,
@@ -165,6 +173,7 @@
               role,
               this::broadcast,
               new ReadSchedule(Duration.ZERO, cluster.timings.operatorMaxAge()),
+              storeClock,
               cluster.timings.operatorMaxWait());
     }
 
@@ -256,7 +265,8 @@
                   new CallerLimits(1000, 1000, 1000, 1000))),
           List.of(),
           cluster.revision,
-          cluster.operatorRevision);
+          cluster.operatorRevision,
+          cluster.storeMillis());
     }
 
     /** Waits also if there is a change, so that the times measured here are upper bounds. */
@@ -267,13 +277,15 @@
         return operatorState();
       }
       call();
-      return new OperatorState(Optional.empty(), List.of(), cluster.revision, 0);
+      return new OperatorState(
+          Optional.empty(), List.of(), cluster.revision, 0, cluster.storeMillis());
     }
 
     @Override
     public InstanceReading instances() throws PlatformException {
       call();
-      return new InstanceReading(new ArrayList<>(cluster.upstreams.values()), cluster.revision);
+      return new InstanceReading(
+          new ArrayList<>(cluster.upstreams.values()), cluster.revision, cluster.storeMillis());
     }
 
     @Override
@@ -391,7 +403,7 @@
 
     // Replays readers that run slowly or have slow links: what they send was true when they read it
     // and arrives late, but too soon for the links to be given up.
-    @Test(dataProvider = "delays", groups = "known-red")
+    @Test(dataProvider = "delays")
     public void reachEveryHostInTimeWhileTheReadersAreSlow(long allowedMillis, long delayMillis) {
       Cluster slow = new Cluster(88, 3, allowedMillis, allowedMillis);
       slow.run(5000);
