Check that the upstream has not left before each send

What callers could see: a request that is sent to an upstream after it announced its leaving (DRAIN).

Cause: the upstream is chosen before the request waits for a connection, which takes up to 250 ms to open, or as long as other requests hold all 64 connections of the host to the upstream; the list may change meanwhile. Before the first byte only the caller was looked at.

Change: the upstream is looked at as well. If it has left, nothing is sent, and the request goes elsewhere like one that reached no upstream.

The test failed before: RequestForwarderTest.AtMostOnce.requestIsNotSentToAnUpstreamThatLeavesMeanwhile.

--- a/server/src/main/java/org/clementinequay/server/gateway/Gateway.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/Gateway.java
@@ -150,6 +150,11 @@
     return available.getOrDefault(service, List.of());
   }
 
+  /** Returns whether an upstream is listed and not leaving. */
+  boolean accepts(UpstreamInstance instance) {
+    return available(instance.service()).stream().anyMatch(instance::isSameProcess);
+  }
+
   /** Returns the traffic shift of a service; empty if none was ordered. */
   public Optional<TrafficShift> shift(String service) {
     return Optional.ofNullable(shifts.get(service));
--- a/server/src/main/java/org/clementinequay/server/gateway/GatewayAttempt.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/GatewayAttempt.java
@@ -115,14 +115,17 @@
     return head != null && head.success() && forwarder.route.kind().streaming();
   }
 
-  /** Returns false, so that nothing is sent, if the caller left while the connection was opened. */
+  /**
+   * Returns false, so that nothing is sent, if the caller or the upstream left while the request
+   * waited for a connection.
+   */
   @Override
   public boolean isStillNeeded() {
     synchronized (forwarder) {
       if (isActive() && forwarder.response.isDisconnected()) {
         forwarder.callerDisconnected();
       }
-      return isActive();
+      return isActive() && gateway.accepts(instance);
     }
   }
 
--- a/server/src/test/java/org/clementinequay/server/gateway/GatewayFixture.java
+++ b/server/src/test/java/org/clementinequay/server/gateway/GatewayFixture.java
@@ -81,7 +81,11 @@
   }
 
   static UpstreamInstance instance(String id) {
-    return new UpstreamInstance(id, "s", "10.0.0.1:1", "d", "v1", 8, false, 1);
+    return instance(id, false);
+  }
+
+  static UpstreamInstance instance(String id, boolean leaving) {
+    return new UpstreamInstance(id, "s", "10.0.0.1:1", "d", "v1", 8, leaving, 1);
   }
 
   RequestForwarder start(RequestKind kind, List<String> modelsBySize) {
--- a/server/src/test/java/org/clementinequay/server/gateway/RequestForwarderTest.java
+++ b/server/src/test/java/org/clementinequay/server/gateway/RequestForwarderTest.java
@@ -49,6 +49,21 @@
       assertTrue(fixture.finishedCallbackRun);
     }
 
+    // Guards against requests that wait for a connection and reach an upstream that is leaving.
+    @Test
+    public void requestIsNotSentToAnUpstreamThatLeavesMeanwhile() {
+      String first = fixture.lastAttempt().headers.get("instance");
+      assertTrue(fixture.lastAttempt().isStillNeeded());
+      fixture.gateway.updateInstances(
+          List.of("a", "b", "c").stream()
+              .map(id -> GatewayFixture.instance(id, id.equals(first)))
+              .toList());
+      assertFalse(fixture.lastAttempt().isStillNeeded());
+      fixture.lastAttempt().fail(false);
+      assertNotEquals(fixture.lastAttempt().headers.get("instance"), first);
+      assertEquals(fixture.response.status, 0);
+    }
+
     @Test
     public void unreachableUpstreamIsReplaced() {
       fixture.lastAttempt().fail(false);
