Count attempts that are given up for silence as slow answers of their version

Cause: an attempt that is moved to another engine because this one sends nothing counts as no answer at all. The class: evidence from survivors only.

Change: while traffic moves, such an attempt counts as a slow answer of its version if its engine still accepts connections. One that does not is dark or cut off, which says nothing about the version, as before.

--- a/server/src/main/java/org/clementinequay/server/gateway/ConnectProbe.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/ConnectProbe.java
@@ -6,21 +6,20 @@
 import java.net.InetSocketAddress;
 import java.net.Socket;
 
-/** Probes an upstream by a connection that is closed at once. */
+/** Probes upstreams over TCP. */
 final class ConnectProbe implements UpstreamProbe {
   private static final int TIMEOUT_MILLIS = 100;
 
   @Override
-  public boolean isRefused(String address) {
+  public Result probe(String address) {
     HostAndPort upstream = HostAndPort.fromString(address);
     try (Socket socket = new Socket()) {
       socket.connect(new InetSocketAddress(upstream.getHost(), upstream.getPort()), TIMEOUT_MILLIS);
-      return false;
+      return Result.CONNECTED;
     } catch (ConnectException e) {
-      return true;
+      return Result.REFUSED;
     } catch (IOException e) {
-      // No answer in time, or no route: says nothing about the process.
-      return false;
+      return Result.SILENT;
     }
   }
 }
--- a/server/src/main/java/org/clementinequay/server/gateway/CrashGuardTask.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/CrashGuardTask.java
@@ -57,10 +57,11 @@
 
   /** Returns the reports on upstreams whose processes have ended. */
   private List<CrashReport> confirmCrashes(List<CrashGuard.BrokenAttempt> broken) {
-    Map<String, Boolean> refusedByAddress = new HashMap<>();
+    Map<String, UpstreamProbe.Result> results = new HashMap<>();
     List<CrashReport> confirmed = new ArrayList<>();
     for (CrashGuard.BrokenAttempt attempt : broken) {
-      if (refusedByAddress.computeIfAbsent(attempt.address(), probe::isRefused)) {
+      if (results.computeIfAbsent(attempt.address(), probe::probe)
+          == UpstreamProbe.Result.REFUSED) {
         confirmed.add(attempt.report());
         gateway.log.record(
             "upstream_crashed",
--- a/server/src/main/java/org/clementinequay/server/gateway/Gateway.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/Gateway.java
@@ -1,12 +1,15 @@
 package org.clementinequay.server.gateway;
 
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
@@ -37,6 +40,9 @@
    */
   private static final long SERVING_WINDOW_MILLIS = 1000;
 
+  /** Maximum number of stalled attempts that wait to be looked at; further ones are dropped. */
+  private static final int MAX_PENDING_STALLED = 256;
+
   final RuntimeClock clock;
   final GatewayProtocol protocol;
   final UpstreamSender sender;
@@ -52,6 +58,8 @@
   final RandomGenerator random;
   final String hostName;
   final String domain;
+  private final BlockingQueue<StalledAttempt> stalled =
+      new ArrayBlockingQueue<>(MAX_PENDING_STALLED);
   private final InstanceDirectory directory = new InstanceDirectory();
   private final Map<String, TrafficShift> shifts = new ConcurrentHashMap<>();
   private final Map<String, RetryWindow> retryBudgets = new ConcurrentHashMap<>();
@@ -199,6 +207,20 @@
     return retryBudget(service).tryRetry(clock.nanoTime());
   }
 
+  /** Records an attempt that was given up for silence, if that tells something about a version. */
+  void recordStalled(StalledAttempt attempt) {
+    if (shift(attempt.upstream().service()).filter(s -> !s.state().ended()).isPresent()) {
+      stalled.offer(attempt);
+    }
+  }
+
+  /** Returns the recorded attempts since the last call. */
+  List<StalledAttempt> takeStalled() {
+    List<StalledAttempt> taken = new ArrayList<>();
+    stalled.drainTo(taken);
+    return taken;
+  }
+
   private RetryWindow retryBudget(String service) {
     return retryBudgets.computeIfAbsent(service, s -> budgetFactory.get());
   }
--- a/server/src/main/java/org/clementinequay/server/gateway/GatewayAttempt.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/GatewayAttempt.java
@@ -203,6 +203,7 @@
         forwarder.route.kind().streaming() && gateway.health.recordUnreachable(instance.id());
     call.abort(new IOException(reason));
     forwarder.placement.recordFailure(instance);
+    gateway.recordStalled(new StalledAttempt(instance, forwarder.route.name()));
     forwarder.log(
         "stalled",
         "upstream",
--- a/server/src/main/java/org/clementinequay/server/gateway/GatewayHost.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/GatewayHost.java
@@ -159,9 +159,11 @@
     peers.addListener(gossip);
     addTask("operator", changes::step);
     addTask("instances", instances::step);
-    CrashGuardTask crashes = new CrashGuardTask(gateway, peers::broadcast, new ConnectProbe());
+    UpstreamProbe probe = new ConnectProbe();
+    CrashGuardTask crashes = new CrashGuardTask(gateway, peers::broadcast, probe);
     peers.addListener(crashes);
     addTask("crashes", crashes::step);
+    addTask("stalled", new StalledAttemptTask(gateway, probe)::step);
     addTask("quarantine", new QuarantineStoreTask(gateway, platform, role)::step);
     addTask("rollouts", new ShiftStateTask(gateway, platform, gossip, role)::step);
   }
--- a/server/src/test/java/org/clementinequay/server/gateway/CrashGuardTest.java
+++ b/server/src/test/java/org/clementinequay/server/gateway/CrashGuardTest.java
@@ -112,7 +112,14 @@
       this.self = self;
       this.incarnation = Incarnation.random(cluster.random);
       this.gateway = GatewayFixture.idleGateway(self.name(), self.domain(), cluster.clock);
-      this.task = new CrashGuardTask(gateway, this, cluster.refusing::contains);
+      this.task =
+          new CrashGuardTask(
+              gateway,
+              this,
+              address ->
+                  cluster.refusing.contains(address)
+                      ? UpstreamProbe.Result.REFUSED
+                      : UpstreamProbe.Result.CONNECTED);
     }
 
     private void breakAttempt(UpstreamInstance upstream, long attemptMillis, List<String> parts) {
--- a/server/src/test/java/org/clementinequay/server/gateway/RequestForwarderTest.java
+++ b/server/src/test/java/org/clementinequay/server/gateway/RequestForwarderTest.java
@@ -313,6 +313,19 @@
       assertEquals(shift.evidence().size(), 1);
     }
 
+    @Test
+    public void attemptThatIsGivenUpForSilenceIsRecordedWhileTrafficMoves() {
+      fixture.gateway.applyOrder(new ShiftOrder("s", "v2", Duration.ofSeconds(20), 5));
+      RequestForwarder forwarder = fixture.start(RequestKind.RESUMABLE_STREAM, CALLER_NAMES_MODEL);
+      String stalled = fixture.lastAttempt().headers.get("instance");
+      fixture.clock.advance(Duration.ofMillis(3000));
+      forwarder.checkProgress(fixture.clock.nanoTime());
+      assertEquals(fixture.sent.size(), 2);
+      assertEquals(
+          fixture.gateway.takeStalled(),
+          List.of(new StalledAttempt(GatewayFixture.instance(stalled), "route")));
+    }
+
     // Guards against a stream that is aborted although its engine would have continued.
     @Test
     public void stalledStreamStaysIfNoOtherUpstreamIsLeft() {
