Give a new version all traffic only once its answers show that it is sound

Cause: the stages of a roll-out follow the clock. At 0.62 of the time all traffic moves unless the version was shown to be worse, and a slow version shows that late: at 0.62 of 15 s, 17 answers had come. The class: no evidence against is taken for evidence for.

Change: all traffic moves once the sequential test accepts the version as not clearly worse, and completion follows at the earliest 2 s later. An undecided version keeps at most half of the traffic and is rolled back 1 s before the end of the time. A service with fewer than 40 answers in all goes on by the clock as before.

TrafficShiftTest: two of the three new tests failed before; the third holds what is kept, the completion in an idle service.

--- a/core/src/main/java/org/clementinequay/core/rollout/SequentialRatioTest.java
+++ b/core/src/main/java/org/clementinequay/core/rollout/SequentialRatioTest.java
@@ -32,16 +32,27 @@
    */
   static boolean isWorse(
       long bad, long answers, long referenceBad, long referenceAnswers, double alpha) {
-    if (bad == 0) {
-      return false;
-    }
+    return bad > 0
+        && logLikelihoodRatio(bad, answers, referenceBad, referenceAnswers) >= -Math.log(alpha);
+  }
+
+  /**
+   * Returns whether the version is not clearly worse.
+   *
+   * @param beta upper bound on the probability of true for a version that is clearly worse
+   */
+  static boolean isSound(
+      long bad, long answers, long referenceBad, long referenceAnswers, double beta) {
+    return logLikelihoodRatio(bad, answers, referenceBad, referenceAnswers) <= Math.log(beta);
+  }
+
+  private static double logLikelihoodRatio(
+      long bad, long answers, long referenceBad, long referenceAnswers) {
     double referenceRate = (referenceBad + 0.5) / (referenceAnswers + 1.0);
     double cappedReference = Math.min(referenceRate, MAX_REFERENCE_RATE);
     double acceptedRate = Math.max(MIN_ACCEPTED_RATE, REFERENCE_RATE_FACTOR * cappedReference);
     double worseRate = acceptedRate + DETECTED_EXCESS;
-    double logLikelihoodRatio =
-        bad * Math.log(worseRate / acceptedRate)
-            + (answers - bad) * Math.log((1 - worseRate) / (1 - acceptedRate));
-    return logLikelihoodRatio >= -Math.log(alpha);
+    return bad * Math.log(worseRate / acceptedRate)
+        + (answers - bad) * Math.log((1 - worseRate) / (1 - acceptedRate));
   }
 }
--- a/core/src/main/java/org/clementinequay/core/rollout/TrafficShift.java
+++ b/core/src/main/java/org/clementinequay/core/rollout/TrafficShift.java
@@ -9,11 +9,12 @@
 
 /**
  * Moves a service's traffic to another version within a fixed time: a small share until the counts
- * of all hosts suffice, then half, then all, and completion once requests on the old version have
- * had time to end. It rolls back at any time if {@link SequentialRatioTest}, which may be evaluated
- * after each answer, shows that the new version is worse on any route. It is designed for versions
- * that fail at once, late, under load or on one route only, and keeps the share small enough to
- * bound the exposure to them. Thread-safe.
+ * of all hosts suffice, then half, then all once the answers show that the version is sound, and
+ * completion once requests on the old version have had time to end. A version that is undecided at
+ * the end of the time is rolled back. It rolls back at any time if {@link SequentialRatioTest},
+ * which may be evaluated after each answer, shows that the new version is worse on any route. It is
+ * designed for versions that fail at once, late, under load or on one route only, and keeps the
+ * share small enough to bound the exposure to them. Thread-safe.
  */
 public final class TrafficShift {
   /** Share of the first stage; below the exposure that the deployments allow (0.15). */
@@ -45,6 +46,21 @@
   /** Time before the end of the duration at which the move is completed, in milliseconds. */
   static final long COMPLETION_MARGIN_MILLIS = 3500;
 
+  /** Time for which all traffic goes to the new version before the move is completed, in ms. */
+  static final long MIN_LAST_STAGE_MILLIS = 2000;
+
+  /** Time before the end of the duration at which an undecided version is rolled back, in ms. */
+  static final long DECISION_MARGIN_MILLIS = 1000;
+
+  /** Upper bound on the probability that a version that is clearly worse gets all traffic. */
+  static final double MAX_FALSE_COMPLETION_PROBABILITY = 0.05;
+
+  /**
+   * Answers of all versions together below which the service is idle, and the version is taken for
+   * sound without evidence.
+   */
+  static final int MIN_JUDGED_ANSWERS = 40;
+
   /** Upper bound on the probability that a version that is not worse is rolled back. */
   static final double MAX_FALSE_ROLLBACK_PROBABILITY = 0.004;
 
@@ -61,6 +77,9 @@
   private long startedNanos;
   private ShiftState state = ShiftState.ACTIVE;
   private boolean provedWorse;
+  private boolean sound = true;
+  private boolean inLastStage;
+  private long lastStageNanos;
   private String reason = "";
 
   /**
@@ -229,10 +248,10 @@
     if (state == ShiftState.ROLLED_BACK || provedWorse) {
       return 0;
     }
-    double elapsedFraction = elapsedFraction(nowNanos);
-    if (elapsedFraction >= LAST_STAGE_FRACTION) {
+    if (isLastStage(nowNanos)) {
       return 1;
     }
+    double elapsedFraction = elapsedFraction(nowNanos);
     // Called for each request, so the answers are summed only where the stage depends on them.
     boolean secondStage =
         elapsedFraction >= LATEST_SECOND_STAGE_FRACTION
@@ -241,6 +260,15 @@
     return secondStage ? SECOND_STAGE_SHARE : FIRST_STAGE_SHARE;
   }
 
+  /** Returns whether all traffic goes to the new version, which then goes on. */
+  private boolean isLastStage(long nowNanos) {
+    if (!inLastStage && sound && elapsedFraction(nowNanos) >= LAST_STAGE_FRACTION) {
+      inLastStage = true;
+      lastStageNanos = nowNanos;
+    }
+    return inLastStage;
+  }
+
   private long targetAnswers() {
     return bySource.values().stream().mapToLong(evidence -> sum(evidence.target()).answers()).sum();
   }
@@ -296,9 +324,19 @@
       return Optional.of(ShiftState.ROLLED_BACK);
     }
     long remainingMillis = order.duration().toMillis() - elapsedMillis(nowNanos);
-    return remainingMillis <= COMPLETION_MARGIN_MILLIS
-        ? Optional.of(ShiftState.COMPLETED)
-        : Optional.empty();
+    boolean decisionDue = remainingMillis <= DECISION_MARGIN_MILLIS;
+    if (isLastStage(nowNanos)) {
+      boolean oldVersionIdle = nowNanos - lastStageNanos >= MIN_LAST_STAGE_MILLIS * 1_000_000;
+      boolean completionDue =
+          decisionDue || (oldVersionIdle && remainingMillis <= COMPLETION_MARGIN_MILLIS);
+      return completionDue ? Optional.of(ShiftState.COMPLETED) : Optional.empty();
+    }
+    if (decisionDue) {
+      provedWorse = true;
+      reason = "undecided: " + sum(totalsByRoute(true)).summary();
+      return Optional.of(ShiftState.ROLLED_BACK);
+    }
+    return Optional.empty();
   }
 
   private long elapsedMillis(long nowNanos) {
@@ -313,6 +351,9 @@
     Map<String, VersionCounts> others = totalsByRoute(false);
     VersionCounts allTarget = sum(target);
     VersionCounts allOthers = sum(others);
+    sound =
+        allTarget.answers() + allOthers.answers() < MIN_JUDGED_ANSWERS
+            || isSound(allTarget, allOthers);
     double alpha = MAX_FALSE_ROLLBACK_PROBABILITY / (target.size() + 1);
     if (isWorse(allTarget, allOthers, alpha)) {
       recordWorse("all routes", allTarget, allOthers);
@@ -334,6 +375,14 @@
             target.bad(), target.rated(), reference.bad(), reference.rated(), alpha / 2);
   }
 
+  private static boolean isSound(VersionCounts target, VersionCounts reference) {
+    double beta = MAX_FALSE_COMPLETION_PROBABILITY;
+    return SequentialRatioTest.isSound(
+            target.errors(), target.answers(), reference.errors(), reference.answers(), beta)
+        && SequentialRatioTest.isSound(
+            target.bad(), target.rated(), reference.bad(), reference.rated(), beta);
+  }
+
   private void recordWorse(String scope, VersionCounts target, VersionCounts others) {
     provedWorse = true;
     reason = scope + ": " + target.summary() + "; other versions " + others.summary();
--- a/core/src/test/java/org/clementinequay/core/rollout/TrafficShiftTest.java
+++ b/core/src/test/java/org/clementinequay/core/rollout/TrafficShiftTest.java
@@ -80,6 +80,34 @@
       assertEquals(shift.finalStateDue(21 * SECOND), Optional.of(ShiftState.COMPLETED));
     }
 
+    // Guards against a slow version that gets all traffic before its answers have come.
+    @Test
+    public void versionWithTooFewAnswersGetsNoMoreThanHalfAndIsRolledBack() {
+      recordAnswers(shift, "h1", "r1", "v2", 5, 0);
+      assertEquals(shift.share(16 * SECOND), TrafficShift.SECOND_STAGE_SHARE);
+      assertTrue(shift.finalStateDue(21 * SECOND).isEmpty());
+      assertEquals(shift.finalStateDue(23 * SECOND), Optional.of(ShiftState.ROLLED_BACK));
+      assertEquals(shift.share(23 * SECOND), 0.0);
+    }
+
+    @Test
+    public void versionWhoseAnswersComeLateIsCompletedAfterTheLastStage() {
+      recordAnswers(shift, "h1", "r1", "v2", 5, 0);
+      assertEquals(shift.share(20 * SECOND), TrafficShift.SECOND_STAGE_SHARE);
+      recordAnswers(shift, "h1", "r1", "v2", 15, 0);
+      assertEquals(shift.share(20 * SECOND), 1.0);
+      assertTrue(shift.finalStateDue(21 * SECOND).isEmpty());
+      assertEquals(shift.finalStateDue(22 * SECOND), Optional.of(ShiftState.COMPLETED));
+    }
+
+    @Test
+    public void versionOfAnIdleServiceIsCompleted() {
+      TrafficShift idle = new TrafficShift(ORDER, 0);
+      recordAnswers(idle, "h1", "r1", "v1", 3, 0);
+      assertEquals(idle.share(16 * SECOND), 1.0);
+      assertEquals(idle.finalStateDue(21 * SECOND), Optional.of(ShiftState.COMPLETED));
+    }
+
     @Test
     public void finalStateNeverChanges() {
       shift.applyStoredState(ShiftState.COMPLETED);
