--- a/server/src/test/java/org/clementinequay/server/gateway/CrashGuardTest.java
+++ b/server/src/test/java/org/clementinequay/server/gateway/CrashGuardTest.java
@@ -3,13 +3,8 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
-import com.fasterxml.jackson.databind.ObjectMapper;
-import com.fasterxml.jackson.databind.ObjectWriter;
-import java.io.IOException;
-import java.io.UncheckedIOException;
 import java.time.Duration;
 import java.time.Instant;
-import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -20,20 +15,16 @@
 import java.util.function.Predicate;
 import org.clementinequay.core.Incarnation;
 import org.clementinequay.core.forward.UpstreamInstance;
-import org.clementinequay.core.membership.LinkTopology;
 import org.clementinequay.core.membership.Member;
 import org.clementinequay.core.time.ManualClock;
 import org.clementinequay.server.peer.PeerMessage;
 import org.clementinequay.server.peer.PeerNetwork;
-import org.msgpack.jackson.dataformat.MessagePackFactory;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 /** Guards against a part of prompts that crashes upstreams at hosts that know nothing of it. */
 public class CrashGuardTest {
-  private static final ObjectWriter WRITER =
-      new ObjectMapper(new MessagePackFactory()).writerFor(PeerMessage.class);
   private static final long STEP_MILLIS = 50;
   private static final String FIRST = "first";
   private static final String BAD = "bad";
@@ -47,18 +38,10 @@
     private int upstreams;
 
     private Cluster(int hostCount, int domainCount) {
-      List<Member> members = new ArrayList<>();
-      for (int i = 0; i < hostCount; i++) {
-        members.add(new Member("front-" + i, "domain-" + i % domainCount));
-      }
-      LinkTopology topology = new LinkTopology(members);
-      members.forEach(member -> hosts.put(member.name(), new Host(this, member)));
-      for (Member member : members) {
-        for (Member target : topology.targets(member)) {
-          hosts.get(member.name()).linked.add(target.name());
-          hosts.get(target.name()).linked.add(member.name());
-        }
-      }
+      List<Member> members = TestLinks.members(hostCount, domainCount);
+      Map<String, Set<String>> linked = TestLinks.linked(members);
+      members.forEach(
+          member -> hosts.put(member.name(), new Host(this, member, linked.get(member.name()))));
     }
 
     private Host host(int number) {
@@ -102,14 +85,15 @@
     private final Cluster cluster;
     private final Member self;
     private final Incarnation incarnation;
-    private final Set<String> linked = new TreeSet<>();
+    private final Set<String> linked;
     private final Gateway gateway;
     private final CrashGuardTask task;
     private long sentBytes;
 
-    private Host(Cluster cluster, Member self) {
+    private Host(Cluster cluster, Member self, Set<String> linked) {
       this.cluster = cluster;
       this.self = self;
+      this.linked = linked;
       this.incarnation = Incarnation.random(cluster.random);
       this.gateway = GatewayFixture.idleGateway(self.name(), self.domain(), cluster.clock);
       this.task =
@@ -138,17 +122,13 @@
     @Override
     public long broadcast(PeerMessage message, Predicate<PeerNetwork.Peer> receivers) {
       long bytes = 0;
-      try {
-        int messageBytes = WRITER.writeValueAsBytes(message).length;
-        for (String name : linked) {
-          Host receiver = cluster.hosts.get(name);
-          if (receivers.test(receiver.peer())) {
-            receiver.task.received(peer(), message);
-            bytes += messageBytes;
-          }
+      int frameBytes = TestLinks.frameBytes(message);
+      for (String name : linked) {
+        Host receiver = cluster.hosts.get(name);
+        if (receivers.test(receiver.peer())) {
+          receiver.task.received(peer(), message);
+          bytes += frameBytes;
         }
-      } catch (IOException e) {
-        throw new UncheckedIOException(e);
       }
       sentBytes += bytes;
       return bytes;
@@ -179,7 +159,7 @@
     @Test
     public void hostThatIsLinkedLaterKeepsThePart() {
       Cluster cluster = new Cluster(6, 3);
-      Host late = new Host(cluster, new Member("front-6", "domain-0"));
+      Host late = new Host(cluster, new Member("front-6", "domain-0"), new TreeSet<>());
       crashInSeries(cluster);
       cluster.hosts.put("front-6", late);
       late.linked.add("front-0");
--- a/server/src/test/java/org/clementinequay/server/gateway/ShiftGossipTest.java
+++ b/server/src/test/java/org/clementinequay/server/gateway/ShiftGossipTest.java
@@ -4,13 +4,8 @@
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
-import com.fasterxml.jackson.databind.ObjectMapper;
-import com.fasterxml.jackson.databind.ObjectWriter;
-import java.io.IOException;
-import java.io.UncheckedIOException;
 import java.time.Duration;
 import java.time.Instant;
-import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -19,25 +14,17 @@
 import java.util.TreeSet;
 import java.util.function.Predicate;
 import org.clementinequay.core.Incarnation;
-import org.clementinequay.core.membership.LinkTopology;
 import org.clementinequay.core.membership.Member;
 import org.clementinequay.core.rollout.ShiftOrder;
 import org.clementinequay.core.rollout.TrafficShift;
 import org.clementinequay.core.time.ManualClock;
 import org.clementinequay.server.peer.PeerMessage;
 import org.clementinequay.server.peer.PeerNetwork;
-import org.msgpack.jackson.dataformat.MessagePackFactory;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 /** Guards against evidence on a roll-out that fills the links of many hosts, or comes too late. */
 public class ShiftGossipTest {
-  private static final ObjectWriter WRITER =
-      new ObjectMapper(new MessagePackFactory()).writerFor(PeerMessage.class);
-
-  /** Frame prefix, in bytes. */
-  private static final int PREFIX_BYTES = 4;
-
   private static final ShiftOrder ORDER =
       new ShiftOrder("engines", "v2", Duration.ofSeconds(20), 7);
   private static final long STEP_MILLIS = 100;
@@ -50,18 +37,10 @@
     private final SplittableRandom random = new SplittableRandom(11);
 
     private Cluster(int hostCount, int domainCount) {
-      List<Member> members = new ArrayList<>();
-      for (int i = 0; i < hostCount; i++) {
-        members.add(new Member("front-" + i, "domain-" + i % domainCount));
-      }
-      LinkTopology topology = new LinkTopology(members);
-      members.forEach(member -> hosts.put(member.name(), new Host(this, member)));
-      for (Member member : members) {
-        for (Member target : topology.targets(member)) {
-          hosts.get(member.name()).linked.add(target.name());
-          hosts.get(target.name()).linked.add(member.name());
-        }
-      }
+      List<Member> members = TestLinks.members(hostCount, domainCount);
+      Map<String, Set<String>> linked = TestLinks.linked(members);
+      members.forEach(
+          member -> hosts.put(member.name(), new Host(this, member, linked.get(member.name()))));
     }
 
     private void step() {
@@ -85,15 +64,16 @@
   private static final class Host implements PeerBroadcast {
     private final Cluster cluster;
     private final Member self;
-    private final Set<String> linked = new TreeSet<>();
+    private final Set<String> linked;
     private final Gateway gateway;
     private final TrafficShift shift;
     private final ShiftGossip gossip;
     private long sentBytes;
 
-    private Host(Cluster cluster, Member self) {
+    private Host(Cluster cluster, Member self, Set<String> linked) {
       this.cluster = cluster;
       this.self = self;
+      this.linked = linked;
       this.gateway = GatewayFixture.idleGateway(self.name(), self.domain(), cluster.clock);
       this.shift = gateway.applyOrder(ORDER);
       this.gossip = new ShiftGossip(gateway, this);
@@ -107,17 +87,13 @@
     @Override
     public long broadcast(PeerMessage message, Predicate<PeerNetwork.Peer> receivers) {
       long bytes = 0;
-      try {
-        int frameBytes = WRITER.writeValueAsBytes(message).length + PREFIX_BYTES;
-        for (String name : linked) {
-          Host receiver = cluster.hosts.get(name);
-          if (receivers.test(receiver.peer())) {
-            receiver.gossip.received(peer(), message);
-            bytes += frameBytes;
-          }
+      int frameBytes = TestLinks.frameBytes(message);
+      for (String name : linked) {
+        Host receiver = cluster.hosts.get(name);
+        if (receivers.test(receiver.peer())) {
+          receiver.gossip.received(peer(), message);
+          bytes += frameBytes;
         }
-      } catch (IOException e) {
-        throw new UncheckedIOException(e);
       }
       sentBytes += bytes;
       return bytes;
