Tell processes with the same id apart when crashes are counted

Cause: an engine may start again under the id that it had. Its crashes under one part of prompts counted as one, so the part was not named. Change: a crash belongs to the id and the start of the process. CrashGuardTest.Reports.processesWithTheSameIdAreToldApart failed before.

--- a/core/src/main/java/org/clementinequay/core/quarantine/CrashReport.java
+++ b/core/src/main/java/org/clementinequay/core/quarantine/CrashReport.java
@@ -6,7 +6,7 @@
  * An upstream whose process ended before it had begun the answer to a request.
  *
  * @param service service of the upstream
- * @param upstream id of the upstream; a process that starts again has a new one
+ * @param upstream name of the upstream's process; one that starts again has a new one
  * @param startNanos time at which the request was sent, by the clock of this host
  * @param crashNanos time at which its connection ended, by the clock of this host
  * @param partIds ids of the parts of the prompt that other requests may share, in order
--- a/server/src/main/java/org/clementinequay/server/gateway/CrashGuard.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/CrashGuard.java
@@ -41,11 +41,16 @@
       broken.offer(
           new BrokenAttempt(
               new CrashReport(
-                  upstream.service(), upstream.id(), startNanos, clock.nanoTime(), partIds),
+                  upstream.service(), processId(upstream), startNanos, clock.nanoTime(), partIds),
               upstream.address()));
     }
   }
 
+  /** Returns a name of the process; its id may be that of an earlier one. */
+  private static String processId(UpstreamInstance upstream) {
+    return upstream.id() + '@' + upstream.startMillis();
+  }
+
   /** Reports an answer that has begun, which clears the parts of its prompt. */
   void answerBegun(String service, List<String> partIds) {
     for (String id : partIds) {
--- a/server/src/test/java/org/clementinequay/server/gateway/CrashGuardTest.java
+++ b/server/src/test/java/org/clementinequay/server/gateway/CrashGuardTest.java
@@ -191,6 +191,25 @@
     }
   }
 
+  /** Reports of broken attempts. */
+  public static class Reports {
+    // Guards against the crashes of a process that starts again under its id being taken for one.
+    @Test
+    public void processesWithTheSameIdAreToldApart() {
+      Cluster cluster = new Cluster(1, 1);
+      for (int start = 1; start <= 5; start++) {
+        String address = "10.0.0.1:1";
+        cluster.refusing.add(address);
+        UpstreamInstance upstream =
+            new UpstreamInstance("same", "s", address, "d", "v1", 8, false, start);
+        cluster.host(0).breakAttempt(upstream, 100, List.of(FIRST, BAD));
+        cluster.run(150);
+      }
+      cluster.run(1100);
+      assertEquals(cluster.hostsThatKeep(BAD), 1);
+    }
+  }
+
   /** Prompts that do no harm. */
   public static class SoundPrompts {
     private Cluster cluster;
