Move all traffic to a new version at all hosts together

Cause: since a host waits for its evidence before it sends all traffic to a new version, hosts with other evidence could do so seconds apart, and sessions would change back and forth between versions (PINNED). A host that starts late in a roll-out could also take the service for idle, for lack of its peers' counts.

Change: a host that begins the last stage tells its peers at once, and they follow. Only a host that has known the order for half of its time can tell that a service is idle.

--- a/core/src/main/java/org/clementinequay/core/rollout/TrafficShift.java
+++ b/core/src/main/java/org/clementinequay/core/rollout/TrafficShift.java
@@ -56,11 +56,17 @@
   static final double MAX_FALSE_COMPLETION_PROBABILITY = 0.05;
 
   /**
-   * Answers of all versions together below which the service is idle, and the version is taken for
-   * sound without evidence.
+   * Answers of all versions together below which the service is idle, and the version gets all
+   * traffic without evidence.
    */
   static final int MIN_JUDGED_ANSWERS = 40;
 
+  /**
+   * Fraction of the duration for which a host must have known the order to tell that the service is
+   * idle; one that has just started lacks the counts of its peers.
+   */
+  private static final double IDLE_KNOWN_FRACTION = 0.5;
+
   /** Upper bound on the probability that a version that is not worse is rolled back. */
   static final double MAX_FALSE_ROLLBACK_PROBABILITY = 0.004;
 
@@ -73,11 +79,13 @@
   private static final double DOUBLE_UNIT = 0x1.0p-53;
 
   private final ShiftOrder order;
+  private final long knownSinceNanos;
   private final Map<String, Evidence> bySource = new HashMap<>();
   private long startedNanos;
   private ShiftState state = ShiftState.ACTIVE;
   private boolean provedWorse;
-  private boolean sound = true;
+  private boolean sound;
+  private long judgedAnswers;
   private boolean inLastStage;
   private long lastStageNanos;
   private String reason = "";
@@ -141,6 +149,7 @@
   public TrafficShift(ShiftOrder order, long startedNanos) {
     this.order = order;
     this.startedNanos = startedNanos;
+    this.knownSinceNanos = startedNanos;
   }
 
   /** Returns the order. */
@@ -230,6 +239,19 @@
     }
   }
 
+  /** Records that a peer sends all traffic to the new version, as this host does from now on. */
+  public synchronized void recordPeerLastStage(long nowNanos) {
+    if (!inLastStage) {
+      inLastStage = true;
+      lastStageNanos = nowNanos;
+    }
+  }
+
+  /** Returns whether all traffic goes to the new version. */
+  public synchronized boolean inLastStage(long nowNanos) {
+    return !provedWorse && isLastStage(nowNanos);
+  }
+
   /** Returns the time since the move began, in milliseconds. */
   public synchronized long ageMillis(long nowNanos) {
     return elapsedMillis(nowNanos);
@@ -262,13 +284,21 @@
 
   /** Returns whether all traffic goes to the new version, which then goes on. */
   private boolean isLastStage(long nowNanos) {
-    if (!inLastStage && sound && elapsedFraction(nowNanos) >= LAST_STAGE_FRACTION) {
+    if (!inLastStage
+        && elapsedFraction(nowNanos) >= LAST_STAGE_FRACTION
+        && (sound || isIdle(nowNanos))) {
       inLastStage = true;
       lastStageNanos = nowNanos;
     }
     return inLastStage;
   }
 
+  private boolean isIdle(long nowNanos) {
+    double knownMillis = (nowNanos - knownSinceNanos) / 1e6;
+    return judgedAnswers < MIN_JUDGED_ANSWERS
+        && knownMillis >= IDLE_KNOWN_FRACTION * order.duration().toMillis();
+  }
+
   private long targetAnswers() {
     return bySource.values().stream().mapToLong(evidence -> sum(evidence.target()).answers()).sum();
   }
@@ -351,9 +381,8 @@
     Map<String, VersionCounts> others = totalsByRoute(false);
     VersionCounts allTarget = sum(target);
     VersionCounts allOthers = sum(others);
-    sound =
-        allTarget.answers() + allOthers.answers() < MIN_JUDGED_ANSWERS
-            || isSound(allTarget, allOthers);
+    judgedAnswers = allTarget.answers() + allOthers.answers();
+    sound = isSound(allTarget, allOthers);
     double alpha = MAX_FALSE_ROLLBACK_PROBABILITY / (target.size() + 1);
     if (isWorse(allTarget, allOthers, alpha)) {
       recordWorse("all routes", allTarget, allOthers);
--- a/core/src/test/java/org/clementinequay/core/rollout/TrafficShiftTest.java
+++ b/core/src/test/java/org/clementinequay/core/rollout/TrafficShiftTest.java
@@ -108,6 +108,15 @@
       assertEquals(idle.finalStateDue(21 * SECOND), Optional.of(ShiftState.COMPLETED));
     }
 
+    // Guards against a host that starts during the move and knows no answers of its peers yet.
+    @Test
+    public void hostThatHearsOfTheOrderLateDoesNotTakeTheServiceForIdle() {
+      TrafficShift late = new TrafficShift(ORDER, 15 * SECOND);
+      late.moveStartTo(0);
+      assertEquals(late.share(16 * SECOND), TrafficShift.SECOND_STAGE_SHARE);
+      assertFalse(late.inLastStage(16 * SECOND));
+    }
+
     @Test
     public void finalStateNeverChanges() {
       shift.applyStoredState(ShiftState.COMPLETED);
--- a/server/src/main/java/org/clementinequay/server/gateway/ShiftGossip.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/ShiftGossip.java
@@ -12,10 +12,11 @@
 
 /**
  * Exchanges evidence on traffic shifts with the peers, at an interval and at once when a version is
- * found worse. Each host sees only a few answers of a version with a small share; together the
- * hosts see enough. A host sends its own counts to the hosts of its failure domain, and to its
- * peers in other domains the sum over its domain, so that the size of a message does not grow with
- * the number of hosts. Of several sums of a domain the one with the most answers counts.
+ * found worse or gets all traffic. Each host sees only a few answers of a version with a small
+ * share; together the hosts see enough. A host sends its own counts to the hosts of its failure
+ * domain, and to its peers in other domains the sum over its domain, so that the size of a message
+ * does not grow with the number of hosts. Of several sums of a domain the one with the most answers
+ * counts.
  */
 final class ShiftGossip implements PeerNetwork.Listener {
   /** Marks a source that is a failure domain and not a host. */
@@ -32,6 +33,7 @@
     private TrafficShift.Evidence own = TrafficShift.Evidence.empty();
     private TrafficShift.Evidence ofDomain = TrafficShift.Evidence.empty();
     private String stopReason = "";
+    private boolean lastStage;
 
     private SentEvidence(long order) {
       this.order = order;
@@ -57,16 +59,18 @@
                   known != null && known.order == shift.order().revision()
                       ? known
                       : new SentEvidence(shift.order().revision()));
-      boolean newStopReason = !shift.reason().equals(sent.stopReason);
-      if (newStopReason || sent.pacer.isDue(nowNanos)) {
-        sendRound(shift, sent, newStopReason, nowNanos);
+      boolean lastStage = shift.inLastStage(nowNanos);
+      boolean newDecision = !shift.reason().equals(sent.stopReason) || lastStage != sent.lastStage;
+      if (newDecision || sent.pacer.isDue(nowNanos)) {
+        sent.lastStage = lastStage;
+        sendRound(shift, sent, newDecision, nowNanos);
       }
     }
   }
 
   private void sendRound(
-      TrafficShift shift, SentEvidence sent, boolean newStopReason, long nowNanos) {
-    boolean always = newStopReason || sent.pacer.isFullRound();
+      TrafficShift shift, SentEvidence sent, boolean newDecision, long nowNanos) {
+    boolean always = newDecision || sent.pacer.isFullRound();
     TrafficShift.Evidence none = TrafficShift.Evidence.empty();
     TrafficShift.Evidence own = shift.sum(gateway.hostName::equals);
     TrafficShift.Evidence ofDomain = shift.sum(source -> !source.startsWith(DOMAIN_PREFIX));
@@ -101,6 +105,7 @@
         shift.order().revision(),
         shift.ageMillis(nowNanos),
         shift.reason(),
+        shift.inLastStage(nowNanos),
         counts);
   }
 
@@ -140,6 +145,9 @@
     }
     shift.mergeEvidence(source, evidence);
     shift.moveStartTo(gateway.clock.nanoTime() - news.ageMillis() * 1_000_000);
+    if (news.lastStage()) {
+      shift.recordPeerLastStage(gateway.clock.nanoTime());
+    }
     if (!news.stopped().isEmpty()) {
       shift.recordPeerStop(news.stopped());
     }
--- a/server/src/main/java/org/clementinequay/server/peer/PeerMessage.java
+++ b/server/src/main/java/org/clementinequay/server/peer/PeerMessage.java
@@ -102,6 +102,7 @@
    * @param order number of the order
    * @param ageMillis time since the sender saw the order, in milliseconds
    * @param stopped why the version was stopped; empty if it was not
+   * @param lastStage whether the sender sends all traffic to the version
    * @param counts counts by source and route that are new to the peer, or all counts
    */
   record ShiftNews(
@@ -109,6 +110,7 @@
       @JsonProperty("o") long order,
       @JsonProperty("a") long ageMillis,
       @JsonProperty("x") String stopped,
+      @JsonProperty("l") boolean lastStage,
       @JsonProperty("c") List<ShiftCount> counts)
       implements PeerMessage {}
 
--- a/server/src/test/java/org/clementinequay/server/gateway/ShiftGossipTest.java
+++ b/server/src/test/java/org/clementinequay/server/gateway/ShiftGossipTest.java
@@ -79,6 +79,10 @@
       this.gossip = new ShiftGossip(gateway, this);
     }
 
+    private double share() {
+      return shift.share(cluster.clock.nanoTime());
+    }
+
     private PeerNetwork.Peer peer() {
       return new PeerNetwork.Peer(
           Incarnation.random(cluster.random), self.name(), self.domain(), "r", 1, 0, 0, false);
@@ -157,6 +161,31 @@
       }
     }
 
+    // Guards against sessions that change back and forth because hosts judge the version at
+    // different times.
+    @Test
+    public void allTrafficMovesAtEveryHostOnceOneHasSeenEnoughAnswers() {
+      Cluster cluster = new Cluster(95, 5);
+      Host first = cluster.hosts.get("front-0");
+      for (Host host : cluster.hosts.values()) {
+        for (int i = 0; i < 50; i++) {
+          host.shift.recordAnswer(host.self.name(), "sheets", "v1", false, false);
+        }
+      }
+      cluster.clock.advance(Duration.ofSeconds(13));
+      cluster.step();
+      assertTrue(cluster.hosts.values().stream().allMatch(host -> host.share() < 1));
+      for (int i = 0; i < 20; i++) {
+        first.shift.recordAnswer(first.self.name(), "sheets", "v2", false, false);
+      }
+      assertEquals(first.share(), 1.0);
+      cluster.step();
+      cluster.step();
+      for (Host host : cluster.hosts.values()) {
+        assertEquals(host.share(), 1.0, host.self.name());
+      }
+    }
+
     // Guards against answers that count twice because they arrive on two ways.
     @Test
     public void everyHostCountsEachAnswerOnce() {
