Name the part with the most crashes, and release one that it explains

Cause: the first part with four crashes was named, even if another had more and was confirmed a moment later. When engines crash for another reason just before a part crashes the rest, a popular sound part can be first, and was kept for ten minutes; so was one that happened to be in all of the first requests with the crashing part.

Change: parts that explain fewer crashes wait until the one with the most is confirmed; a named part whose crashes another named part explains together with more is released everywhere.

The two new tests of CrashLedgerTest replay both cases.

--- a/core/src/main/java/org/clementinequay/core/quarantine/CrashLedger.java
+++ b/core/src/main/java/org/clementinequay/core/quarantine/CrashLedger.java
@@ -1,6 +1,7 @@
 package org.clementinequay.core.quarantine;
 
 import java.time.Duration;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Iterator;
@@ -9,6 +10,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Collectors;
 
 /**
  * Collects under which parts of prompts upstreams crashed, and names a part once it explains enough
@@ -40,11 +42,16 @@
    */
   private static final double SPECIFIC_SHARE = 0.75;
 
+  private static final Comparator<Suspect> MOST_SPECIFIC =
+      Comparator.<Suspect>comparingInt(suspect -> suspect.position)
+          .thenComparingInt(Suspect::crashes);
+
   private final Map<String, Crash> crashesByUpstream = new LinkedHashMap<>();
   private final Map<SharedPart, Suspect> suspects = new HashMap<>();
   private final Set<SharedPart> named = new HashSet<>();
 
   private static final class Crash {
+    private final Set<SharedPart> parts = new HashSet<>();
     private long nanos;
     private boolean explained;
 
@@ -77,6 +84,7 @@
     }
     List<SharedPart> parts =
         report.partIds().stream().map(id -> new SharedPart(report.service(), id)).toList();
+    crash.parts.addAll(parts);
     if (crash.explained) {
       return false;
     }
@@ -132,39 +140,49 @@
     return suspects.remove(part) != null;
   }
 
-  /** Names the part that explains the most crashes, if there is one that explains enough. */
+  /**
+   * Names the part that explains the most crashes, if there is one that explains enough. Parts that
+   * explain fewer wait for it to be confirmed.
+   */
   public synchronized Optional<SharedPart> nameNext(long nowNanos) {
-    Map<SharedPart, Suspect> confirmed = new HashMap<>(suspects);
-    confirmed.values().removeIf(suspect -> !isConfirmed(suspect, nowNanos));
-    int most = confirmed.values().stream().mapToInt(Suspect::crashes).max().orElse(0);
+    Map<SharedPart, Suspect> candidates = new HashMap<>(suspects);
+    candidates.values().removeIf(suspect -> !explainsEnough(suspect, nowNanos));
+    int most = candidates.values().stream().mapToInt(Suspect::crashes).max().orElse(0);
     Optional<SharedPart> choice =
-        confirmed.entrySet().stream()
+        candidates.entrySet().stream()
             .filter(entry -> entry.getValue().crashes() >= SPECIFIC_SHARE * most)
-            .max(
-                Map.Entry.comparingByValue(
-                    (a, b) ->
-                        a.position != b.position
-                            ? Integer.compare(a.position, b.position)
-                            : Integer.compare(a.crashes(), b.crashes())))
+            .max(Map.Entry.comparingByValue(MOST_SPECIFIC))
+            .filter(entry -> isConfirmed(entry.getValue(), nowNanos))
             .map(Map.Entry::getKey);
     choice.ifPresent(this::addNamed);
     return choice;
   }
 
-  private boolean isConfirmed(Suspect suspect, long nowNanos) {
+  /**
+   * Returns whether a part was in enough crashes, at least one of them of a request that was sent
+   * after the first crash.
+   */
+  private boolean explainsEnough(Suspect suspect, long nowNanos) {
     if (suspect.crashes() < CRASH_THRESHOLD) {
       return false;
     }
-    long[] crashAges =
-        suspect.startNanosByUpstream.keySet().stream()
-            .mapToLong(upstream -> nowNanos - crashesByUpstream.get(upstream).nanos)
-            .sorted()
-            .toArray();
+    long[] crashAges = crashAges(suspect, nowNanos);
     long youngestAttemptAge =
         suspect.startNanosByUpstream.values().stream().mapToLong(s -> nowNanos - s).min().orElse(0);
-    long firstCrashAge = crashAges[crashAges.length - 1];
-    long thresholdAge = crashAges[crashAges.length - CRASH_THRESHOLD];
-    return thresholdAge >= CONFIRMATION_TIME.toNanos() && youngestAttemptAge < firstCrashAge;
+    return youngestAttemptAge < crashAges[crashAges.length - 1];
+  }
+
+  private boolean isConfirmed(Suspect suspect, long nowNanos) {
+    long[] crashAges = crashAges(suspect, nowNanos);
+    return crashAges[crashAges.length - CRASH_THRESHOLD] >= CONFIRMATION_TIME.toNanos();
+  }
+
+  /** Returns the times since the crashes in ascending order, in nanoseconds. */
+  private long[] crashAges(Suspect suspect, long nowNanos) {
+    return suspect.startNanosByUpstream.keySet().stream()
+        .mapToLong(upstream -> nowNanos - crashesByUpstream.get(upstream).nanos)
+        .sorted()
+        .toArray();
   }
 
   /** Takes over a part that a peer named; it explains the crashes under it. */
@@ -176,6 +194,36 @@
     }
   }
 
+  /**
+   * Forgets the named parts whose crashes another named part explains together with more crashes,
+   * and returns them. Such a part was in all requests with the other one until then.
+   */
+  public synchronized List<SharedPart> releaseExplained() {
+    Map<SharedPart, Set<String>> crashesByPart = new HashMap<>();
+    named.forEach(part -> crashesByPart.put(part, crashesUnder(part)));
+    List<SharedPart> released =
+        named.stream()
+            .filter(part -> !crashesByPart.get(part).isEmpty())
+            .filter(
+                part ->
+                    crashesByPart.values().stream()
+                        .anyMatch(other -> isExplainedBy(other, crashesByPart.get(part))))
+            .toList();
+    released.forEach(named::remove);
+    return released;
+  }
+
+  private static boolean isExplainedBy(Set<String> crashes, Set<String> explained) {
+    return crashes.size() > explained.size() && crashes.containsAll(explained);
+  }
+
+  private Set<String> crashesUnder(SharedPart part) {
+    return crashesByUpstream.entrySet().stream()
+        .filter(entry -> entry.getValue().parts.contains(part))
+        .map(Map.Entry::getKey)
+        .collect(Collectors.toSet());
+  }
+
   /** Forgets that a part was named; later crashes count against it again. */
   public synchronized void removeNamed(SharedPart part) {
     named.remove(part);
--- a/core/src/test/java/org/clementinequay/core/quarantine/CrashLedgerTest.java
+++ b/core/src/test/java/org/clementinequay/core/quarantine/CrashLedgerTest.java
@@ -145,6 +145,39 @@
       assertEquals(nameAfterConfirmation(), Optional.empty());
     }
 
+    // Replays a crash of several upstreams for another reason just before a part crashes the rest:
+    // a popular prompt is in enough crashes a moment earlier than the part.
+    @Test
+    public void partWithMoreCrashesIsNamedThoughAnotherHadEnoughEarlier() {
+      crash(List.of("first", "popular"));
+      crash(List.of("first", "popular"));
+      for (int i = 0; i < 2; i++) {
+        crash(List.of("first", "popular"), List.of("first", "bad"));
+      }
+      for (int i = 0; i < 4; i++) {
+        crash(List.of("first", "bad"));
+      }
+      clock.advance(CrashLedger.CONFIRMATION_TIME.minusMillis(150));
+      assertEquals(ledger.nameNext(clock.nanoTime()), Optional.empty());
+      assertEquals(nameAfterConfirmation(), Optional.of(BAD));
+      assertEquals(nameAfterConfirmation(), Optional.empty());
+    }
+
+    // Replays a part that by chance came with the same other part in all of the first requests.
+    @Test
+    public void partThatWasNamedInsteadOfAnotherIsReleased() {
+      crashes(CrashLedger.CRASH_THRESHOLD, List.of("bad", "subject"));
+      SharedPart subject = new SharedPart("s", "subject");
+      assertEquals(nameAfterConfirmation(), Optional.of(subject));
+      assertEquals(ledger.releaseExplained(), List.of());
+      for (int i = 0; i < CrashLedger.CRASH_THRESHOLD; i++) {
+        crash(List.of("bad", "other-" + i));
+        clock.advance(Duration.ofMillis(10));
+      }
+      assertEquals(nameAfterConfirmation(), Optional.of(BAD));
+      assertEquals(ledger.releaseExplained(), List.of(subject));
+    }
+
     // Guards against prompts that are named because they ran beside one that crashes upstreams.
     @Test
     public void crashesThatAreExplainedDoNotCountAgainstOthers() {
--- a/server/src/main/java/org/clementinequay/server/gateway/CrashGuard.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/CrashGuard.java
@@ -96,7 +96,10 @@
     return added;
   }
 
-  /** Puts the parts in quarantine for which there is enough evidence, and returns them. */
+  /**
+   * Puts the parts in quarantine for which there is enough evidence, and returns them. Lifts the
+   * quarantine of parts whose crashes are explained by them.
+   */
   List<SharedPart> quarantineNamed() {
     List<SharedPart> added = new ArrayList<>();
     Optional<SharedPart> next = ledger.nameNext(clock.nanoTime());
@@ -108,6 +111,12 @@
       }
       next = ledger.nameNext(clock.nanoTime());
     }
+    if (!added.isEmpty()) {
+      for (SharedPart part : ledger.releaseExplained()) {
+        quarantine.lift(part, clock.nanoTime());
+        cleared.offer(part);
+      }
+    }
     return added;
   }
 
--- a/server/src/test/java/org/clementinequay/server/gateway/CrashGuardTest.java
+++ b/server/src/test/java/org/clementinequay/server/gateway/CrashGuardTest.java
@@ -3,138 +3,20 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
-import java.time.Duration;
-import java.time.Instant;
-import java.util.HashSet;
-import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Set;
-import java.util.SplittableRandom;
 import java.util.TreeSet;
-import java.util.function.Predicate;
-import org.clementinequay.core.Incarnation;
 import org.clementinequay.core.forward.UpstreamInstance;
 import org.clementinequay.core.membership.Member;
-import org.clementinequay.core.time.ManualClock;
-import org.clementinequay.server.peer.PeerMessage;
-import org.clementinequay.server.peer.PeerNetwork;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 /** Guards against a part of prompts that crashes upstreams at hosts that know nothing of it. */
 public class CrashGuardTest {
-  private static final long STEP_MILLIS = 50;
   private static final String FIRST = "first";
   private static final String BAD = "bad";
 
-  /** Hosts that are linked as in production; messages arrive at once. */
-  private static final class Cluster {
-    private final ManualClock clock = new ManualClock(Instant.EPOCH);
-    private final Map<String, Host> hosts = new LinkedHashMap<>();
-    private final SplittableRandom random = new SplittableRandom(13);
-    private final Set<String> refusing = new HashSet<>();
-    private int upstreams;
-
-    private Cluster(int hostCount, int domainCount) {
-      List<Member> members = TestLinks.members(hostCount, domainCount);
-      Map<String, Set<String>> linked = TestLinks.linked(members);
-      members.forEach(
-          member -> hosts.put(member.name(), new Host(this, member, linked.get(member.name()))));
-    }
-
-    private Host host(int number) {
-      return hosts.get("front-" + number);
-    }
-
-    private Host anyHost() {
-      return host(random.nextInt(hosts.size()));
-    }
-
-    private void run(long millis) {
-      for (long elapsed = 0; elapsed < millis; elapsed += STEP_MILLIS) {
-        hosts.values().forEach(host -> host.task.step());
-        clock.advance(Duration.ofMillis(STEP_MILLIS));
-      }
-    }
-
-    private UpstreamInstance newUpstream(boolean crashed) {
-      String address = "10.0.0.1:" + ++upstreams;
-      if (crashed) {
-        refusing.add(address);
-      }
-      return new UpstreamInstance("u" + upstreams, "s", address, "d", "v1", 8, false, 1);
-    }
-
-    /** Lets an upstream crash that was sent requests with the prompts by hosts chosen at random. */
-    @SafeVarargs
-    private void crash(long attemptMillis, List<String>... prompts) {
-      UpstreamInstance upstream = newUpstream(true);
-      for (List<String> prompt : prompts) {
-        anyHost().breakAttempt(upstream, attemptMillis, prompt);
-      }
-    }
-
-    private long hostsThatKeep(String part) {
-      return hosts.values().stream().filter(host -> host.keeps(part)).count();
-    }
-  }
-
-  private static final class Host implements PeerBroadcast {
-    private final Cluster cluster;
-    private final Member self;
-    private final Incarnation incarnation;
-    private final Set<String> linked;
-    private final Gateway gateway;
-    private final CrashGuardTask task;
-    private long sentBytes;
-
-    private Host(Cluster cluster, Member self, Set<String> linked) {
-      this.cluster = cluster;
-      this.self = self;
-      this.linked = linked;
-      this.incarnation = Incarnation.random(cluster.random);
-      this.gateway = GatewayFixture.idleGateway(self.name(), self.domain(), cluster.clock);
-      this.task =
-          new CrashGuardTask(
-              gateway,
-              this,
-              address ->
-                  cluster.refusing.contains(address)
-                      ? UpstreamProbe.Result.REFUSED
-                      : UpstreamProbe.Result.CONNECTED);
-    }
-
-    private void breakAttempt(UpstreamInstance upstream, long attemptMillis, List<String> parts) {
-      long start = cluster.clock.nanoTime() - Duration.ofMillis(attemptMillis).toNanos();
-      gateway.crashGuard.attemptBroken(upstream, start, parts);
-    }
-
-    private boolean keeps(String part) {
-      return gateway.crashGuard.quarantined("s", List.of(part)).isPresent();
-    }
-
-    private PeerNetwork.Peer peer() {
-      return new PeerNetwork.Peer(incarnation, self.name(), self.domain(), "r", 1, 0, 0, false);
-    }
-
-    @Override
-    public long broadcast(PeerMessage message, Predicate<PeerNetwork.Peer> receivers) {
-      long bytes = 0;
-      int frameBytes = TestLinks.frameBytes(message);
-      for (String name : linked) {
-        Host receiver = cluster.hosts.get(name);
-        if (receivers.test(receiver.peer())) {
-          receiver.task.received(peer(), message);
-          bytes += frameBytes;
-        }
-      }
-      sentBytes += bytes;
-      return bytes;
-    }
-  }
-
   /** A part that crashes upstreams, seen by hosts chosen at random. */
   public static class Spread {
     private static final long STABLE_WINDOW_MILLIS = 3000;
@@ -146,7 +28,7 @@
 
     @Test(dataProvider = "sizes")
     public void everyHostKeepsThePartInTime(int hostCount, int domainCount) {
-      Cluster cluster = new Cluster(hostCount, domainCount);
+      CrashGuardCluster cluster = new CrashGuardCluster(hostCount, domainCount);
       for (int i = 0; i < 5; i++) {
         cluster.crash(100, List.of(FIRST, BAD), List.of(FIRST, "beside-" + i % 3));
         cluster.run(150);
@@ -158,8 +40,9 @@
 
     @Test
     public void hostThatIsLinkedLaterKeepsThePart() {
-      Cluster cluster = new Cluster(6, 3);
-      Host late = new Host(cluster, new Member("front-6", "domain-0"), new TreeSet<>());
+      CrashGuardCluster cluster = new CrashGuardCluster(6, 3);
+      CrashGuardCluster.Host late =
+          new CrashGuardCluster.Host(cluster, new Member("front-6", "domain-0"), new TreeSet<>());
       crashInSeries(cluster);
       cluster.hosts.put("front-6", late);
       late.linked.add("front-0");
@@ -171,7 +54,7 @@
     // Guards against a host that lost the messages because its links were cut for a moment.
     @Test
     public void hostThatLostTheMessagesHearsOfThePartAgain() {
-      Cluster cluster = new Cluster(6, 3);
+      CrashGuardCluster cluster = new CrashGuardCluster(6, 3);
       Set<String> links = new TreeSet<>(cluster.host(5).linked);
       cluster.hosts.values().forEach(host -> host.linked.remove("front-5"));
       crashInSeries(cluster);
@@ -181,7 +64,7 @@
       assertEquals(cluster.hostsThatKeep(BAD), 6);
     }
 
-    private static void crashInSeries(Cluster cluster) {
+    private static void crashInSeries(CrashGuardCluster cluster) {
       for (int i = 0; i < 5; i++) {
         UpstreamInstance upstream = cluster.newUpstream(true);
         cluster.host(i % 5).breakAttempt(upstream, 100, List.of(FIRST, BAD));
@@ -196,7 +79,7 @@
     // Guards against the crashes of a process that starts again under its id being taken for one.
     @Test
     public void processesWithTheSameIdAreToldApart() {
-      Cluster cluster = new Cluster(1, 1);
+      CrashGuardCluster cluster = new CrashGuardCluster(1, 1);
       for (int start = 1; start <= 5; start++) {
         String address = "10.0.0.1:1";
         cluster.refusing.add(address);
@@ -212,11 +95,11 @@
 
   /** Prompts that do no harm. */
   public static class SoundPrompts {
-    private Cluster cluster;
+    private CrashGuardCluster cluster;
 
     @BeforeMethod
     public void create() {
-      cluster = new Cluster(88, 3);
+      cluster = new CrashGuardCluster(88, 3);
     }
 
     // Replays resets on links: the connections of many attempts end, and the upstreams live on.
@@ -248,7 +131,7 @@
               .mapToInt(host -> host.gateway.crashGuard.quarantinedParts().size())
               .sum(),
           0);
-      for (Host host : cluster.hosts.values()) {
+      for (CrashGuardCluster.Host host : cluster.hosts.values()) {
         assertTrue(host.sentBytes <= 2 * 25_000, host.self.name() + " sent " + host.sentBytes);
       }
     }
