--- a/review/1/ResumeFailure.java
+++ b/review/2/ResumeFailure.java
@@ -34,7 +34,7 @@
   private static final Random random = new Random(27);
 
   public static void main(String[] args) throws Exception {
-    try (Deployment deployment = new Deployment("review/1")) {
+    try (Deployment deployment = new Deployment("review/2")) {
       run(deployment);
     } catch (IOException e) {
       System.out.println("could not run: " + e);
--- a/review/standins/Deployment.java
+++ b/review/standins/Deployment.java
@@ -147,7 +147,7 @@
   void finish(boolean broken, String verdict) {
     log((broken ? "BROKEN: " : "held: ") + verdict);
     System.out.println((broken ? "BROKEN: " : "held: ") + verdict);
-    killAll();
+    close();
     System.exit(broken ? 1 : 0);
   }
 
