--- a/review/3/KeptChannelStop.java
+++ b/review/4/KeptChannelStop.java
@@ -21,7 +21,7 @@
   private static final int EXCUSED_MILLIS = 3000;
 
   public static void main(String[] args) throws Exception {
-    try (Deployment deployment = new Deployment("review/3")) {
+    try (Deployment deployment = new Deployment("review/4")) {
       run(deployment);
     } catch (IOException e) {
       System.out.println("could not run: " + e);
--- a/review/4/ForeignEntry.java
+++ b/review/5/ForeignEntry.java
@@ -14,7 +14,7 @@
   private static final int SLACK_MILLIS = 500;
 
   public static void main(String[] args) throws Exception {
-    try (Deployment deployment = new Deployment("review/4")) {
+    try (Deployment deployment = new Deployment("review/5")) {
       run(deployment);
     } catch (IOException e) {
       System.out.println("could not run: " + e);
--- a/review/standins/Deployment.java
+++ b/review/standins/Deployment.java
@@ -83,6 +83,14 @@
       }
     }
 
+    boolean hasRunOutOfMemory() {
+      try {
+        return Files.readString(folder.resolve(name + ".err")).contains("OutOfMemoryError");
+      } catch (IOException e) {
+        return false;
+      }
+    }
+
     void awaitReady() throws IOException, InterruptedException {
       long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(30);
       while (!isReady()) {
