--- a/review/1/Burst.java
+++ b/review/1/Burst.java
@@ -34,7 +34,7 @@
   public static void main(String[] args) throws Exception {
     try (Deployment deployment = new Deployment("review/1")) {
       run(deployment);
-    } catch (IOException e) {
+    } catch (Exception | Error e) {
       System.out.println("could not run: " + e);
       System.exit(2);
     }
--- a/review/2/ResumeFailure.java
+++ b/review/2/ResumeFailure.java
@@ -36,7 +36,7 @@
   public static void main(String[] args) throws Exception {
     try (Deployment deployment = new Deployment("review/2")) {
       run(deployment);
-    } catch (IOException e) {
+    } catch (Exception | Error e) {
       System.out.println("could not run: " + e);
       System.exit(2);
     }
--- a/review/4/KeptChannelStop.java
+++ b/review/4/KeptChannelStop.java
@@ -23,7 +23,7 @@
   public static void main(String[] args) throws Exception {
     try (Deployment deployment = new Deployment("review/4")) {
       run(deployment);
-    } catch (IOException e) {
+    } catch (Exception | Error e) {
       System.out.println("could not run: " + e);
       System.exit(2);
     }
--- a/review/5/ForeignEntry.java
+++ b/review/5/ForeignEntry.java
@@ -16,7 +16,7 @@
   public static void main(String[] args) throws Exception {
     try (Deployment deployment = new Deployment("review/5")) {
       run(deployment);
-    } catch (IOException e) {
+    } catch (Exception | Error e) {
       System.out.println("could not run: " + e);
       System.exit(2);
     }
