--- a/review/1/Burst.java
+++ b/review/1/Burst.java
@@ -26,9 +26,9 @@
   /** Time between two such moments: 34 requests a second, 1.7 times the usual. */
   private static final int CLUMP_MILLIS = 1000 * TOGETHER / 34;
 
-  private static final int BURST_SECONDS = 5;
-  private static final int PAUSE_SECONDS = 2;
-  private static final int BURSTS = 6;
+  private static final int BURST_SECONDS = 3;
+  private static final int PAUSE_SECONDS = 1;
+  private static final int BURSTS = 15;
   private static final int CALM_SECONDS = 6;
 
   public static void main(String[] args) throws Exception {
