Call upstreams and callers outside the lock of a request

Cause: RequestForwarder called upstreams and the caller while it held its lock. Jetty's HttpDestination sends whatever request is first in the queue of an upstream, also another thread's, and asks its listener first, which takes that request's lock. Two threads that send each other's request wait for each other, and RequestWatchdog waits with them.

Change: OpenCalls records these calls under the lock and makes them after its release; those to the caller in the order of the changes, by one thread at a time. This holds for the abort of an attempt, the parts of a response and the demand for more of a body as well.

Ruled out: a lock order between requests (Jetty chooses the thread), and a time-out on the lock (the request would be lost).

--- a/server/src/main/java/org/clementinequay/server/gateway/GatewayAttempt.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/GatewayAttempt.java
@@ -1,7 +1,6 @@
 package org.clementinequay.server.gateway;
 
 import java.io.ByteArrayOutputStream;
-import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.Set;
 import org.clementinequay.core.cascade.EscalationRule;
@@ -121,30 +120,33 @@
    */
   @Override
   public boolean isStillNeeded() {
-    synchronized (forwarder) {
-      if (isActive() && forwarder.response.isDisconnected()) {
-        forwarder.callerDisconnected();
-      }
-      return isActive() && gateway.accepts(instance);
-    }
+    return forwarder.openCalls.update(
+        () -> {
+          if (isActive() && forwarder.response.isDisconnected()) {
+            forwarder.callerDisconnected();
+          }
+          return isActive() && gateway.accepts(instance);
+        });
   }
 
   @Override
   public void headers(int status, HttpFields headers) {
-    synchronized (forwarder) {
-      if (!isActive()) {
-        return;
-      }
-      recordReceived();
-      ResponseHead response = gateway.protocol.decodeResponse(status, headers);
-      if (!isValid(response)) {
-        abandonAndFail("response to another request, or without authentication code");
-        return;
-      }
-      head = response;
-      if (isRelaying() && !forwarder.committed && forwarder.placement.hasLargerModel()) {
-        escalate();
-      }
+    forwarder.openCalls.update(() -> handleHead(status, headers));
+  }
+
+  private void handleHead(int status, HttpFields headers) {
+    if (!isActive()) {
+      return;
+    }
+    recordReceived();
+    ResponseHead response = gateway.protocol.decodeResponse(status, headers);
+    if (!isValid(response)) {
+      abandonAndFail("response to another request, or without authentication code");
+      return;
+    }
+    head = response;
+    if (isRelaying() && !forwarder.committed && forwarder.placement.hasLargerModel()) {
+      escalate();
     }
   }
 
@@ -201,7 +203,7 @@
     forwarder.mayHaveRun = true;
     boolean ejected =
         forwarder.route.kind().streaming() && gateway.health.recordUnreachable(instance.id());
-    call.abort(new IOException(reason));
+    forwarder.abortCall(this, reason);
     forwarder.placement.recordFailure(instance);
     gateway.recordStalled(new StalledAttempt(instance, forwarder.route.name()));
     forwarder.log(
@@ -224,44 +226,46 @@
 
   /** Closes the connection and handles the attempt as failed after the request was sent. */
   private void abandonAndFail(String reason) {
-    call.abort(new IOException(reason));
+    forwarder.abortCall(this, reason);
     attemptFailed(reason, true);
   }
 
   @Override
   public void content(ByteBuffer bytes, Callback next) {
-    synchronized (forwarder) {
-      if (!isActive() || head == null) {
-        bytes.position(bytes.limit());
-        next.succeeded();
-        return;
-      }
-      if (!isRelaying()) {
-        bufferBody(bytes, next);
+    forwarder.openCalls.update(() -> handleContent(bytes, next));
+  }
+
+  private void handleContent(ByteBuffer bytes, Callback next) {
+    if (!isActive() || head == null) {
+      bytes.position(bytes.limit());
+      forwarder.openCalls.add(next::succeeded);
+      return;
+    }
+    if (!isRelaying()) {
+      bufferBody(bytes, next);
+      return;
+    }
+    try {
+      byte[] completeEvents = forwarder.events.feed(bytes);
+      if (completeEvents.length == 0) {
+        forwarder.openCalls.add(next::succeeded);
         return;
       }
-      try {
-        byte[] completeEvents = forwarder.events.feed(bytes);
-        if (completeEvents.length == 0) {
-          next.succeeded();
-          return;
-        }
-        recordReceived();
-        relay(completeEvents, next);
-        if (isAnswerBegun()) {
-          recordAnswerBegun();
-        }
-      } catch (CorruptStreamException e) {
-        next.succeeded();
-        abandonAndFail(e.getMessage());
+      recordReceived();
+      relay(completeEvents, next);
+      if (isAnswerBegun()) {
+        recordAnswerBegun();
       }
+    } catch (CorruptStreamException e) {
+      forwarder.openCalls.add(next::succeeded);
+      abandonAndFail(e.getMessage());
     }
   }
 
   private void bufferBody(ByteBuffer bytes, Callback next) {
     byte[] part = new byte[bytes.remaining()];
     bytes.get(part);
-    next.succeeded();
+    forwarder.openCalls.add(next::succeeded);
     if (bufferedBody.size() + part.length > MAX_BUFFERED_BODY_BYTES) {
       abandonAndFail("the response body is longer than " + MAX_BUFFERED_BODY_BYTES + " bytes");
       return;
@@ -299,31 +303,36 @@
           head.confidence().orElse(-1),
           "ms",
           forwarder.elapsedMillis());
-      forwarder.response.sendHead(head.status(), head.returned());
+      ResponseHead first = head;
+      forwarder.openCalls.addInOrder(
+          () -> forwarder.response.sendHead(first.status(), first.returned()));
     }
-    forwarder.response.sendPart(
-        ByteBuffer.wrap(completeEvents),
+    Callback sent =
         Callback.from(
             next::succeeded,
             failure -> {
               next.succeeded();
               forwarder.callerDisconnected();
-            }));
+            });
+    forwarder.openCalls.addInOrder(
+        () -> forwarder.response.sendPart(ByteBuffer.wrap(completeEvents), sent));
   }
 
   @Override
   public void ended() {
-    synchronized (forwarder) {
-      if (!isActive()) {
-        return;
-      }
-      if (head == null) {
-        attemptFailed("the connection ended before the response head", true);
-      } else if (isRelaying()) {
-        streamEnded();
-      } else {
-        responseEnded();
-      }
+    forwarder.openCalls.update(() -> handleEnd());
+  }
+
+  private void handleEnd() {
+    if (!isActive()) {
+      return;
+    }
+    if (head == null) {
+      attemptFailed("the connection ended before the response head", true);
+    } else if (isRelaying()) {
+      streamEnded();
+    } else {
+      responseEnded();
     }
   }
 
@@ -342,7 +351,7 @@
         forwarder.events.lastId(),
         "ms",
         forwarder.elapsedMillis());
-    forwarder.response.end();
+    forwarder.openCalls.addInOrder(forwarder.response::end);
   }
 
   private void responseEnded() {
@@ -361,7 +370,7 @@
           head.status(),
           "ms",
           forwarder.elapsedMillis());
-      forwarder.response.sendComplete(head.status(), head.returned(), bufferedBody.toByteArray());
+      forwarder.sendComplete(head.status(), head.returned(), bufferedBody.toByteArray());
     }
   }
 
@@ -398,12 +407,12 @@
     }
     forwarder.finish(head.status(), "upstream failed");
     if (NOT_RUN_STATUSES.contains(head.status())) {
-      forwarder.response.sendComplete(
+      forwarder.sendComplete(
           RequestForwarder.BAD_GATEWAY,
           ErrorResponses.headers(RequestForwarder.BAD_GATEWAY, 0),
           ErrorResponses.body("the upstream failed"));
     } else {
-      forwarder.response.sendComplete(head.status(), head.returned(), bufferedBody.toByteArray());
+      forwarder.sendComplete(head.status(), head.returned(), bufferedBody.toByteArray());
     }
   }
 
@@ -460,12 +469,14 @@
 
   @Override
   public void failed(Throwable cause, boolean offered) {
-    synchronized (forwarder) {
-      if (!isActive()) {
-        return;
-      }
-      attemptFailed(Failures.summary(cause), offered);
+    forwarder.openCalls.update(() -> handleFailure(cause, offered));
+  }
+
+  private void handleFailure(Throwable cause, boolean offered) {
+    if (!isActive()) {
+      return;
     }
+    attemptFailed(Failures.summary(cause), offered);
   }
 
   private void attemptFailed(String reason, boolean offered) {
--- a/server/src/main/java/org/clementinequay/server/gateway/RequestForwarder.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/RequestForwarder.java
@@ -14,13 +14,16 @@
 import org.clementinequay.core.forward.Route;
 import org.clementinequay.core.forward.UpstreamInstance;
 import org.clementinequay.core.placement.EngineSelector;
+import org.eclipse.jetty.http.HttpFields;
 
 /**
  * Forwards one caller's request: sends it to one upstream after another until one responds, as
  * often as the kind of request, the route and the retry budget allow, and relays the response. A
  * resumable stream that breaks off is resumed on another upstream after the last complete event.
- * All state is guarded by this object's lock; methods that are not synchronized require that the
- * caller holds it.
+ * All state is guarded by this object's lock, which {@link #openCalls} takes; methods that are not
+ * called by other objects' threads require that the caller holds it. Upstreams and the caller are
+ * called only through it: Jetty may handle other requests in the calling thread, and these need the
+ * locks of their own forwarders.
  */
 final class RequestForwarder {
   /** Time past the deadline in which an upstream may still report its timeout, in milliseconds. */
@@ -52,6 +55,7 @@
   final Set<String> triedIds = new HashSet<>();
   final AttemptPlacement placement;
   final EventSplitter events;
+  final OpenCalls openCalls = new OpenCalls(this);
   GatewayAttempt current;
   int attempts;
 
@@ -90,51 +94,63 @@
     this.events = new EventSplitter(request.lastEventId().orElse(0));
   }
 
-  synchronized void start() {
-    if (finished) {
-      // The caller disconnected after the watch of its connection began and before this call.
-      return;
-    }
-    gateway.activeRequests.add(this);
-    gateway.recordRequest(service);
-    startAttempt();
+  void start() {
+    openCalls.update(
+        () -> {
+          if (finished) {
+            // The caller disconnected after the watch of its connection began and before this call.
+            return;
+          }
+          gateway.activeRequests.add(this);
+          gateway.recordRequest(service);
+          startAttempt();
+        });
   }
 
   /** Abandons the current attempt because the caller closed its connection. */
-  synchronized void callerDisconnected() {
-    if (finished) {
-      return;
-    }
-    log("caller_gone", "attempts", attempts);
-    finish(0, "caller left");
-    abandonCurrent("the caller left");
-    response.abort("the caller left");
+  void callerDisconnected() {
+    openCalls.update(
+        () -> {
+          if (finished) {
+            return;
+          }
+          log("caller_gone", "attempts", attempts);
+          finish(0, "caller left");
+          abandonCurrent("the caller left");
+          openCalls.addInOrder(() -> response.abort("the caller left"));
+        });
   }
 
   /** Fails the request if its deadline passed more than {@link #DEADLINE_GRACE_MILLIS} ago. */
-  synchronized void checkDeadline() {
-    if (finished || remainingMillis() > -DEADLINE_GRACE_MILLIS) {
-      return;
-    }
-    boolean running = current != null;
-    abandonCurrent("the time limit was reached");
-    fail(running || mayHaveRun ? GATEWAY_TIMEOUT : UNAVAILABLE, "time limit");
+  void checkDeadline() {
+    openCalls.update(
+        () -> {
+          if (finished || remainingMillis() > -DEADLINE_GRACE_MILLIS) {
+            return;
+          }
+          boolean running = current != null;
+          abandonCurrent("the time limit was reached");
+          fail(running || mayHaveRun ? GATEWAY_TIMEOUT : UNAVAILABLE, "time limit");
+        });
   }
 
   /**
    * Ends the request if a part of its prompt is in quarantine, before the upstream that has it in
    * its queue begins the answer.
    */
-  synchronized void endIfQuarantined() {
-    if (finished || committed) {
-      return;
-    }
-    Optional<Duration> quarantined = gateway.crashGuard.quarantined(service, sharedPartIds);
-    if (quarantined.isPresent()) {
-      mayHaveRun |= current != null;
-      abandonCurrent("a part of the prompt is in quarantine");
-      failQuarantined(quarantined.get());
-    }
+  void endIfQuarantined() {
+    openCalls.update(
+        () -> {
+          if (finished || committed) {
+            return;
+          }
+          Optional<Duration> quarantined = gateway.crashGuard.quarantined(service, sharedPartIds);
+          if (quarantined.isPresent()) {
+            mayHaveRun |= current != null;
+            abandonCurrent("a part of the prompt is in quarantine");
+            failQuarantined(quarantined.get());
+          }
+        });
   }
 
   private void failQuarantined(Duration remaining) {
@@ -145,10 +161,13 @@
   }
 
   /** Moves the request to another upstream if the current one is stalled. */
-  synchronized void checkProgress(long nowNanos) {
-    if (!finished && current != null) {
-      current.checkProgress(nowNanos);
-    }
+  void checkProgress(long nowNanos) {
+    openCalls.update(
+        () -> {
+          if (!finished && current != null) {
+            current.checkProgress(nowNanos);
+          }
+        });
   }
 
   void startAttempt() {
@@ -224,7 +243,7 @@
         "configuration",
         gateway.configuration().map(ForwardingConfiguration::version).orElse(0L));
     recordSessionVersion(instance);
-    attempt.call.start();
+    openCalls.add(attempt.call::start);
   }
 
   void recordSessionVersion(UpstreamInstance instance) {
@@ -254,10 +273,15 @@
         abandoned.recordOutcome(false);
       }
       gateway.health.recordAbandoned(abandoned.instance.id());
-      abandoned.call.abort(new IOException(reason));
+      abortCall(abandoned, reason);
     }
   }
 
+  /** Closes the connection of an attempt; its listener is not called again. */
+  void abortCall(GatewayAttempt attempt, String reason) {
+    openCalls.add(() -> attempt.call.abort(new IOException(reason)));
+  }
+
   /** Takes a retry from the budget if an upstream that was not tried could continue the request. */
   boolean tryRetryElsewhere() {
     return canAttemptAgain() && placement.hasCandidate(triedIds) && gateway.tryRetry(service);
@@ -305,13 +329,18 @@
         elapsedMillis());
     finish(committed ? 0 : status, reason);
     if (committed) {
-      response.abort(reason);
+      openCalls.addInOrder(() -> response.abort(reason));
       return;
     }
-    response.sendComplete(
+    sendComplete(
         status, ErrorResponses.headers(status, retryAfterSeconds), ErrorResponses.body(reason));
   }
 
+  /** Sends a complete response, which ends the request. */
+  void sendComplete(int status, HttpFields headers, byte[] content) {
+    openCalls.addInOrder(() -> response.sendComplete(status, headers, content));
+  }
+
   void finish(int status, String reason) {
     finished = true;
     gateway.observer.requestFinished(
--- a/server/src/main/java/org/clementinequay/server/upstream/UpstreamCall.java
+++ b/server/src/main/java/org/clementinequay/server/upstream/UpstreamCall.java
@@ -27,6 +27,10 @@
 
   @Override
   public void start() {
+    if (ended.get()) {
+      // Another thread has aborted the call before this one could start it.
+      return;
+    }
     request.onRequestBegin(this::handleBegin);
     request.onResponseHeaders(this::handleHeaders);
     request.onResponseContentSource((response, source) -> new BodyReader(source).iterate());
--- a/server/src/test/java/org/clementinequay/server/gateway/GatewayFixture.java
+++ b/server/src/test/java/org/clementinequay/server/gateway/GatewayFixture.java
@@ -1,5 +1,7 @@
 package org.clementinequay.server.gateway;
 
+import static org.testng.Assert.assertFalse;
+
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
@@ -35,22 +37,30 @@
   final List<String> log = new ArrayList<>();
   final List<Integer> finishedStatuses = new ArrayList<>();
   final RecordedResponse response = new RecordedResponse();
-  final Gateway gateway =
-      Gateway.builder()
-          .host("h1", "d")
-          .clock(clock)
-          .protocol(new Protocol())
-          .sender(this::send)
-          .log((event, fields) -> log.add(event))
-          .observer((account, route, status, reason, first, total) -> finishedStatuses.add(status))
-          .random(new SplittableRandom(7))
-          .retryBudgets(() -> new RetryWindow(Duration.ofSeconds(10), 0.5, 10))
-          .sessionIdleTime(Duration.ofSeconds(5))
-          .build();
+  private final List<RequestForwarder> forwarders = new ArrayList<>();
+  final Gateway gateway;
   List<PromptPart> promptParts = List.of();
   boolean finishedCallbackRun;
 
   GatewayFixture() {
+    this(null);
+  }
+
+  /** Creates a gateway; without a sender, attempts are recorded in {@link #sent}. */
+  GatewayFixture(UpstreamSender sender) {
+    gateway =
+        Gateway.builder()
+            .host("h1", "d")
+            .clock(clock)
+            .protocol(new Protocol())
+            .sender(sender == null ? this::send : sender)
+            .log((event, fields) -> log.add(event))
+            .observer(
+                (account, route, status, reason, first, total) -> finishedStatuses.add(status))
+            .random(new SplittableRandom(7))
+            .retryBudgets(() -> new RetryWindow(Duration.ofSeconds(10), 0.5, 10))
+            .sessionIdleTime(Duration.ofSeconds(5))
+            .build();
     EngineProfile engine =
         new EngineProfile(
             8,
@@ -122,15 +132,25 @@
             OptionalInt.empty(),
             promptParts,
             HttpFields.EMPTY);
-    return new RequestForwarder(
-        gateway,
-        request,
-        route,
-        Optional.empty(),
-        new byte[0],
-        response,
-        clock.nanoTime(),
-        () -> finishedCallbackRun = true);
+    RequestForwarder forwarder =
+        new RequestForwarder(
+            gateway,
+            request,
+            route,
+            Optional.empty(),
+            new byte[0],
+            response,
+            clock.nanoTime(),
+            () -> finishedCallbackRun = true);
+    forwarders.add(forwarder);
+    return forwarder;
+  }
+
+  /** Fails if the current thread holds the lock of a forwarder. */
+  private void checkOpenCall() {
+    for (RequestForwarder forwarder : forwarders) {
+      assertFalse(Thread.holdsLock(forwarder), "called under the lock of a forwarder");
+    }
   }
 
   SentAttempt lastAttempt() {
@@ -144,7 +164,7 @@
   }
 
   /** Attempt that was sent to an upstream; the test supplies the response. */
-  static final class SentAttempt implements UpstreamTransport.Call {
+  final class SentAttempt implements UpstreamTransport.Call {
     final HttpFields headers;
     private final UpstreamListener listener;
     boolean abandoned;
@@ -173,7 +193,9 @@
     }
 
     void sendContent(String body) {
-      listener.content(ByteBuffer.wrap(body.getBytes(StandardCharsets.UTF_8)), Callback.NOOP);
+      listener.content(
+          ByteBuffer.wrap(body.getBytes(StandardCharsets.UTF_8)),
+          Callback.from(GatewayFixture.this::checkOpenCall));
     }
 
     void endResponse() {
@@ -185,10 +207,13 @@
     }
 
     @Override
-    public void start() {}
+    public void start() {
+      checkOpenCall();
+    }
 
     @Override
     public void abort(Throwable cause) {
+      checkOpenCall();
       abandoned = true;
     }
   }
@@ -198,7 +223,7 @@
   }
 
   /** Records the response that the caller received. */
-  static final class RecordedResponse implements CallerResponse {
+  final class RecordedResponse implements CallerResponse {
     int status;
     HttpFields headers = HttpFields.EMPTY;
     final StringBuilder body = new StringBuilder();
@@ -215,18 +240,21 @@
 
     @Override
     public void sendHead(int newStatus, HttpFields newHeaders) {
+      checkOpenCall();
       status = newStatus;
       headers = newHeaders;
     }
 
     @Override
     public void sendPart(ByteBuffer bytes, Callback sentCallback) {
+      checkOpenCall();
       body.append(StandardCharsets.UTF_8.decode(bytes));
       sentCallback.succeeded();
     }
 
     @Override
     public void end() {
+      checkOpenCall();
       complete = true;
     }
 
@@ -237,6 +265,7 @@
 
     @Override
     public void abort(String reason) {
+      checkOpenCall();
       aborted = true;
     }
   }
