Break off a stream whose resumption gets another response

Cause: GatewayAttempt.responseEnded decided by the status alone. Statuses below 500 that do not mean "not run" counted as an answer for the caller, also after a part of the stream had been sent.

Change: a whole response to the resumption of a stream that has begun is a failure of its upstream, whatever its status. RequestForwarder.sendComplete and the response itself break off what has begun, so that no other path can join two responses.

Ruled out: refusals, 421, statuses from 500, time limits and quarantine, which broke off such a stream before as well.

--- a/server/src/main/java/org/clementinequay/server/gateway/CallerResponse.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/CallerResponse.java
@@ -6,7 +6,7 @@
 
 /** Response to one caller. Used by one thread at a time. */
 public interface CallerResponse {
-  /** Sends a complete response and ends it. */
+  /** Sends a complete response and ends it; aborts a response whose head was set before. */
   void sendComplete(int status, HttpFields headers, byte[] body);
 
   /** Sets the head of a response whose body follows in parts. */
--- a/server/src/main/java/org/clementinequay/server/gateway/GatewayAttempt.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/GatewayAttempt.java
@@ -357,7 +357,10 @@
   private void responseEnded() {
     if (head.misdirected() || head.notRun()) {
       attemptRejected();
-    } else if (head.status() >= SERVER_ERROR || NOT_RUN_STATUSES.contains(head.status())) {
+    } else if (forwarder.committed
+        || head.status() >= SERVER_ERROR
+        || NOT_RUN_STATUSES.contains(head.status())) {
+      // Once a stream has begun, the caller can take no response but its rest.
       upstreamFailed();
     } else {
       attemptSucceeded();
--- a/server/src/main/java/org/clementinequay/server/gateway/GatewayHandler.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/GatewayHandler.java
@@ -147,6 +147,7 @@
     private final CloseAwareEndPoint endPoint;
     private final AtomicBoolean completed = new AtomicBoolean();
     private final long receivedNanos;
+    private boolean headSet;
 
     private JettyCallerResponse(
         Response response, Callback callback, CloseAwareEndPoint endPoint, long receivedNanos) {
@@ -171,6 +172,10 @@
 
     @Override
     public void sendComplete(int status, HttpFields headers, byte[] body) {
+      if (headSet) {
+        abort("the response has begun with another head");
+        return;
+      }
       if (completed.compareAndSet(false, true)) {
         setHead(status, headers);
         response.getHeaders().put(HttpHeader.CONTENT_LENGTH, body.length);
@@ -187,6 +192,7 @@
     }
 
     private void setHead(int status, HttpFields headers) {
+      headSet = true;
       response.setStatus(status);
       for (HttpField field : headers) {
         response.getHeaders().add(field);
--- a/server/src/main/java/org/clementinequay/server/gateway/RequestForwarder.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/RequestForwarder.java
@@ -328,16 +328,16 @@
         "ms",
         elapsedMillis());
     finish(committed ? 0 : status, reason);
-    if (committed) {
-      openCalls.addInOrder(() -> response.abort(reason));
-      return;
-    }
     sendComplete(
         status, ErrorResponses.headers(status, retryAfterSeconds), ErrorResponses.body(reason));
   }
 
-  /** Sends a complete response, which ends the request. */
+  /** Sends a complete response; one that has begun is broken off instead. */
   void sendComplete(int status, HttpFields headers, byte[] content) {
+    if (committed) {
+      openCalls.addInOrder(() -> response.abort("the response has begun"));
+      return;
+    }
     openCalls.addInOrder(() -> response.sendComplete(status, headers, content));
   }
 
--- a/server/src/test/java/org/clementinequay/server/gateway/RequestForwarderTest.java
+++ b/server/src/test/java/org/clementinequay/server/gateway/RequestForwarderTest.java
@@ -17,6 +17,7 @@
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpHeader;
 import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 /** Guards against requests that run twice, and against false, mixed-up and lost responses. */
@@ -291,6 +292,41 @@
       assertEquals(fixture.response.body.toString(), event(1) + event(2));
     }
 
+    @DataProvider
+    public Object[][] responsesWithoutEvents() {
+      return new Object[][] {
+        {301, false},
+        {400, false},
+        {404, false},
+        {408, false},
+        {409, false},
+        {421, false},
+        {429, true},
+        {500, false},
+        {503, false},
+        {503, true},
+      };
+    }
+
+    // Guards against the body of a failure within a stream, and against a stream that ends as
+    // complete before its last event.
+    @Test(dataProvider = "responsesWithoutEvents")
+    public void streamThatHasBegunTakesNoOtherResponse(int status, boolean notRun) {
+      fixture.start(RequestKind.RESUMABLE_STREAM, CALLER_NAMES_MODEL);
+      fixture.lastAttempt().sendHead(200);
+      fixture.lastAttempt().sendContent(event(1));
+      fixture.lastAttempt().fail(true);
+      for (int i = 0; i < 3; i++) {
+        fixture
+            .lastAttempt()
+            .respond(status, notRun ? NOT_RUN : GatewayFixture.ownRequestId(), "foreign text");
+      }
+      assertEquals(fixture.response.status, 200);
+      assertEquals(fixture.response.body.toString(), event(1));
+      assertFalse(fixture.response.complete);
+      assertTrue(fixture.response.aborted);
+    }
+
     // Guards against a refusal that states the request has not run after a smaller model ran it.
     @Test
     public void rejectionAfterALowConfidenceAnswerBecomesBadGateway() {
