Close kept connections after the last response of a stopping host

Cause: a response that began before the signal does not say that the connection will close, and its connection stayed open at the end until the next poll for idle ones, 50 ms apart. A request was also marked as ended after Jetty had gone on with its connection, which could take the mark of the next one.

Change: CloseAwareEndPoint keeps both facts under one lock. From the signal on, a connection is closed at the end of any response, reads nothing more, and a request that was already read is not passed on.

Ruled out: a shorter poll, which only makes the fault rarer.

--- a/server/src/main/java/org/clementinequay/server/gateway/CallerConnector.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/CallerConnector.java
@@ -24,11 +24,11 @@
     return endPoint;
   }
 
-  /** Closes the connections without a request in progress. */
-  public void closeIdle() {
+  /** Closes each connection after the response to its request in progress, or at once. */
+  public void closeAfterRequests() {
     for (EndPoint endPoint : getConnectedEndPoints()) {
-      if (endPoint instanceof CloseAwareEndPoint closeAware && !closeAware.isBusy()) {
-        closeAware.close();
+      if (endPoint instanceof CloseAwareEndPoint closeAware) {
+        closeAware.closeAfterRequest();
       }
     }
   }
--- a/server/src/main/java/org/clementinequay/server/gateway/CloseAwareEndPoint.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/CloseAwareEndPoint.java
@@ -29,7 +29,8 @@
   private boolean readRegistered;
   private Runnable onClose;
   private ByteBuffer unreadBytes;
-  private volatile boolean busy;
+  private boolean requestInProgress;
+  private boolean closing;
 
   CloseAwareEndPoint(
       SocketChannel channel,
@@ -41,13 +42,37 @@
     this.executor = executor;
   }
 
-  /** Sets whether a request is in progress; {@link CallerConnector#closeIdle} skips such ones. */
-  void setBusy(boolean value) {
-    busy = value;
+  /** Begins a request; returns false if the connection takes no further one. */
+  boolean tryBeginRequest() {
+    synchronized (lock) {
+      if (closing) {
+        return false;
+      }
+      requestInProgress = true;
+      return true;
+    }
   }
 
-  boolean isBusy() {
-    return busy;
+  /** Ends the request in progress. Must be called before Jetty reads the next one. */
+  void endRequest() {
+    synchronized (lock) {
+      requestInProgress = false;
+    }
+  }
+
+  /**
+   * Takes no further request: closes the connection after the response to the request in progress,
+   * or at once if there is none.
+   */
+  void closeAfterRequest() {
+    boolean idle;
+    synchronized (lock) {
+      closing = true;
+      idle = !requestInProgress;
+    }
+    if (idle) {
+      close();
+    }
   }
 
   /** Runs a task once if the caller closes the connection before {@link #stopWatching}. */
@@ -93,7 +118,7 @@
       if (pendingRead != null) {
         return false;
       }
-      if (unreadBytes != null) {
+      if (unreadBytes != null || isAtEnd()) {
         executor.execute(callback::succeeded);
         return true;
       }
@@ -117,6 +142,9 @@
   @Override
   public int fill(ByteBuffer buffer) throws IOException {
     synchronized (lock) {
+      if (isAtEnd()) {
+        return -1;
+      }
       if (unreadBytes == null) {
         return super.fill(buffer);
       }
@@ -133,6 +161,11 @@
     }
   }
 
+  /** Returns whether nothing more is read because the connection closes; needs the lock. */
+  private boolean isAtEnd() {
+    return closing && !requestInProgress;
+  }
+
   /**
    * Handles a connection that became readable or failed: completes the pending read if there is
    * one, otherwise checks whether the caller closed the connection.
--- a/server/src/main/java/org/clementinequay/server/gateway/GatewayHandler.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/GatewayHandler.java
@@ -34,7 +34,10 @@
     this.gateway = gateway;
   }
 
-  /** Closes the connection after each response from now on, so that callers use other hosts. */
+  /**
+   * Closes the connection after each response from now on, also of requests in progress, so that
+   * callers use other hosts.
+   */
   public void startDraining() {
     draining = true;
   }
@@ -47,20 +50,14 @@
   @Override
   public boolean handle(Request request, Response response, Callback callback) {
     long receivedNanos = gateway.clock.nanoTime();
-    openRequests.incrementAndGet();
     CloseAwareEndPoint endPoint = closeAwareEndPoint(request);
-    if (endPoint != null) {
-      endPoint.setBusy(true);
-    }
-    Callback completion =
-        Callback.from(
-            callback,
-            () -> {
-              openRequests.decrementAndGet();
-              if (endPoint != null) {
-                endPoint.setBusy(false);
-              }
-            });
+    if (endPoint != null && !endPoint.tryBeginRequest()) {
+      endPoint.close();
+      callback.failed(new IOException("the connection was closed before the request"));
+      return true;
+    }
+    openRequests.incrementAndGet();
+    Callback completion = Callback.from(() -> endRequest(endPoint), callback);
     JettyCallerResponse callerResponse =
         new JettyCallerResponse(response, completion, endPoint, receivedNanos);
     int maxBodyBytes =
@@ -71,6 +68,21 @@
     return true;
   }
 
+  /**
+   * Called when a response was written and before Jetty reads the next request of its connection.
+   */
+  private void endRequest(CloseAwareEndPoint endPoint) {
+    openRequests.decrementAndGet();
+    if (endPoint == null) {
+      return;
+    }
+    if (draining) {
+      // The head may have been sent before the stop, without the header that announces the close.
+      endPoint.closeAfterRequest();
+    }
+    endPoint.endRequest();
+  }
+
   private void onBodyRead(
       Request request,
       byte[] body,
--- a/server/src/main/java/org/clementinequay/server/gateway/GatewayHost.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/GatewayHost.java
@@ -205,8 +205,9 @@
 
   /**
    * Stops gracefully. The readiness check fails at once while connections are still accepted for
-   * {@link #ACCEPT_AFTER_STOP}; then idle connections are closed, and open requests may finish
-   * until {@link #STOP_MARGIN} before the end of the grace period.
+   * {@link #ACCEPT_AFTER_STOP}, except on connections whose response ends meanwhile: those are
+   * closed. Then idle connections are closed as well, and open requests may finish until {@link
+   * #STOP_MARGIN} before the end of the grace period.
    */
   @Override
   public void close() throws Exception {
@@ -218,7 +219,7 @@
     connector.close();
     long deadline = start + seconds(settings.stopSeconds()).minus(STOP_MARGIN).toNanos();
     while (clock.nanoTime() < deadline) {
-      connector.closeIdle();
+      connector.closeAfterRequests();
       if (handler.openRequests() == 0) {
         break;
       }
