Confine exceptions to the entry, attempt or request in which they occur

Cause: three exceptions that cost more than their own item. The entry was accepted; the call to its address throws after the attempt was made current, which nobody handled; RequestWatchdog failed on the attempt without a call and skipped all other requests.

A call that cannot be created is an attempt that was not sent. A request whose handling fails is answered, and the watchdog and the periodic tasks go on.

Ruled out: a time-out on creating calls; a special case for ports.

--- a/server/src/main/java/org/clementinequay/server/gateway/ConnectProbe.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/ConnectProbe.java
@@ -12,13 +12,13 @@
 
   @Override
   public Result probe(String address) {
-    HostAndPort upstream = HostAndPort.fromString(address);
     try (Socket socket = new Socket()) {
+      HostAndPort upstream = HostAndPort.fromString(address);
       socket.connect(new InetSocketAddress(upstream.getHost(), upstream.getPort()), TIMEOUT_MILLIS);
       return Result.CONNECTED;
     } catch (ConnectException e) {
       return Result.REFUSED;
-    } catch (IOException e) {
+    } catch (IOException | IllegalArgumentException | IllegalStateException e) {
       return Result.SILENT;
     }
   }
--- a/server/src/main/java/org/clementinequay/server/gateway/GatewayAttempt.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/GatewayAttempt.java
@@ -131,7 +131,7 @@
 
   @Override
   public void headers(int status, HttpFields headers) {
-    forwarder.openCalls.update(() -> handleHead(status, headers));
+    forwarder.update(() -> handleHead(status, headers));
   }
 
   private void handleHead(int status, HttpFields headers) {
@@ -232,7 +232,7 @@
 
   @Override
   public void content(ByteBuffer bytes, Callback next) {
-    forwarder.openCalls.update(() -> handleContent(bytes, next));
+    forwarder.update(() -> handleContent(bytes, next));
   }
 
   private void handleContent(ByteBuffer bytes, Callback next) {
@@ -320,7 +320,7 @@
 
   @Override
   public void ended() {
-    forwarder.openCalls.update(() -> handleEnd());
+    forwarder.update(() -> handleEnd());
   }
 
   private void handleEnd() {
@@ -472,7 +472,7 @@
 
   @Override
   public void failed(Throwable cause, boolean offered) {
-    forwarder.openCalls.update(() -> handleFailure(cause, offered));
+    forwarder.update(() -> handleFailure(cause, offered));
   }
 
   private void handleFailure(Throwable cause, boolean offered) {
--- a/server/src/main/java/org/clementinequay/server/gateway/GatewayHandler.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/GatewayHandler.java
@@ -1,5 +1,6 @@
 package org.clementinequay.server.gateway;
 
+import com.google.common.flogger.FluentLogger;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.Optional;
@@ -24,6 +25,8 @@
  * starts a {@link RequestForwarder}.
  */
 public final class GatewayHandler extends Handler.Abstract {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
   private static final int DEFAULT_MAX_BODY_BYTES = 4 << 20;
 
   private final Gateway gateway;
@@ -64,7 +67,14 @@
         gateway.configuration().map(c -> c.limits().maxBodyBytes()).orElse(DEFAULT_MAX_BODY_BYTES);
     Content.Source.asByteArrayAsync(request, maxBodyBytes)
         .whenComplete(
-            (body, failure) -> onBodyRead(request, body, failure, callerResponse, endPoint));
+            (body, failure) -> {
+              try {
+                onBodyRead(request, body, failure, callerResponse, endPoint);
+              } catch (RuntimeException e) {
+                logger.atSevere().withCause(e).log("a request could not be handled");
+                callerResponse.refuse("", HttpStatus.INTERNAL_SERVER_ERROR_500, "internal error");
+              }
+            });
     return true;
   }
 
--- a/server/src/main/java/org/clementinequay/server/gateway/PeriodicTask.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/PeriodicTask.java
@@ -34,7 +34,8 @@
         Duration pause = RETRY_DELAY;
         try {
           pause = step.run();
-        } catch (RuntimeException e) {
+        } catch (RuntimeException | StackOverflowError | OutOfMemoryError e) {
+          // The host would go on without the task, with deadlines or lists that nobody keeps.
           logger.atSevere().withCause(e).log(
               "periodic task %s failed; it continues after a pause",
               Thread.currentThread().getName());
--- a/server/src/main/java/org/clementinequay/server/gateway/RequestForwarder.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/RequestForwarder.java
@@ -1,5 +1,6 @@
 package org.clementinequay.server.gateway;
 
+import com.google.common.flogger.FluentLogger;
 import java.io.IOException;
 import java.time.Duration;
 import java.util.HashSet;
@@ -26,6 +27,8 @@
  * locks of their own forwarders.
  */
 final class RequestForwarder {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
   /** Time past the deadline in which an upstream may still report its timeout, in milliseconds. */
   static final long DEADLINE_GRACE_MILLIS = 100;
 
@@ -94,8 +97,29 @@
     this.events = new EventSplitter(request.lastEventId().orElse(0));
   }
 
-  void start() {
+  /** Changes the state under the lock; an unexpected exception ends this request only. */
+  void update(Runnable change) {
     openCalls.update(
+        () -> {
+          try {
+            change.run();
+          } catch (RuntimeException e) {
+            logger.atSevere().withCause(e).log("request %s ends", request.id().orElse(""));
+            endAfterException();
+          }
+        });
+  }
+
+  private void endAfterException() {
+    if (!finished) {
+      mayHaveRun |= current != null;
+      abandonCurrent("internal error");
+      fail(mayHaveRun ? BAD_GATEWAY : UNAVAILABLE, "internal error");
+    }
+  }
+
+  void start() {
+    update(
         () -> {
           if (finished) {
             // The caller disconnected after the watch of its connection began and before this call.
@@ -109,7 +133,7 @@
 
   /** Abandons the current attempt because the caller closed its connection. */
   void callerDisconnected() {
-    openCalls.update(
+    update(
         () -> {
           if (finished) {
             return;
@@ -123,7 +147,7 @@
 
   /** Fails the request if its deadline passed more than {@link #DEADLINE_GRACE_MILLIS} ago. */
   void checkDeadline() {
-    openCalls.update(
+    update(
         () -> {
           if (finished || remainingMillis() > -DEADLINE_GRACE_MILLIS) {
             return;
@@ -139,7 +163,7 @@
    * its queue begins the answer.
    */
   void endIfQuarantined() {
-    openCalls.update(
+    update(
         () -> {
           if (finished || committed) {
             return;
@@ -162,7 +186,7 @@
 
   /** Moves the request to another upstream if the current one is stalled. */
   void checkProgress(long nowNanos) {
-    openCalls.update(
+    update(
         () -> {
           if (!finished && current != null) {
             current.checkProgress(nowNanos);
@@ -210,18 +234,24 @@
             placement.model(),
             streaming ? OptionalInt.of(urgency()) : OptionalInt.empty(),
             events.lastId() > 0 ? OptionalLong.of(events.lastId()) : OptionalLong.empty());
-    attempt.call =
-        gateway.sender.newCall(
-            new OutboundRequest(
-                instance.address(),
-                request.method(),
-                request.pathQuery(),
-                gateway.protocol.attemptHeaders(request, metadata),
-                body,
-                !route.kind().retryable(),
-                streaming ? Math.min(remaining, STREAM_IDLE_TIMEOUT_MILLIS) : remaining),
-            attempt);
     gateway.engineSelector.recordStart(instance.id(), choice.workMillis(), placement.prefixId());
+    try {
+      attempt.call =
+          gateway.sender.newCall(
+              new OutboundRequest(
+                  instance.address(),
+                  request.method(),
+                  request.pathQuery(),
+                  gateway.protocol.attemptHeaders(request, metadata),
+                  body,
+                  !route.kind().retryable(),
+                  streaming ? Math.min(remaining, STREAM_IDLE_TIMEOUT_MILLIS) : remaining),
+              attempt);
+    } catch (RuntimeException e) {
+      // For instance an address that an upstream cannot have.
+      attempt.failed(e, false);
+      return;
+    }
     log(
         "send",
         "attempt",
@@ -279,6 +309,10 @@
 
   /** Closes the connection of an attempt; its listener is not called again. */
   void abortCall(GatewayAttempt attempt, String reason) {
+    if (attempt.call == null) {
+      // The attempt ended while its call was created.
+      return;
+    }
     openCalls.add(() -> attempt.call.abort(new IOException(reason)));
   }
 
--- a/server/src/main/java/org/clementinequay/server/gateway/RequestWatchdog.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/RequestWatchdog.java
@@ -1,9 +1,12 @@
 package org.clementinequay.server.gateway;
 
+import com.google.common.flogger.FluentLogger;
 import java.time.Duration;
 
 /** Checks the requests in progress for passed deadlines and for stalled upstreams. */
 final class RequestWatchdog {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
   private static final Duration INTERVAL = Duration.ofMillis(100);
 
   /**
@@ -37,9 +40,14 @@
     lastCheckNanos = now;
     boolean checkProgress = now - checkProgressFromNanos >= 0;
     for (RequestForwarder forwarder : gateway.activeRequests) {
-      forwarder.checkDeadline();
-      if (checkProgress) {
-        forwarder.checkProgress(now);
+      try {
+        forwarder.checkDeadline();
+        if (checkProgress) {
+          forwarder.checkProgress(now);
+        }
+      } catch (RuntimeException e) {
+        // The deadlines of the other requests must be checked all the same.
+        logger.atSevere().withCause(e).log("the check of a request failed");
       }
     }
     return INTERVAL;
--- a/server/src/main/java/org/clementinequay/server/upstream/UpstreamCall.java
+++ b/server/src/main/java/org/clementinequay/server/upstream/UpstreamCall.java
@@ -34,7 +34,13 @@
     request.onRequestBegin(this::handleBegin);
     request.onResponseHeaders(this::handleHeaders);
     request.onResponseContentSource((response, source) -> new BodyReader(source).iterate());
-    request.send(this::handleResult);
+    try {
+      request.send(this::handleResult);
+    } catch (RuntimeException e) {
+      if (ended.compareAndSet(false, true)) {
+        listener.failed(e, maybeSent.get());
+      }
+    }
   }
 
   @Override
--- a/server/src/test/java/org/clementinequay/server/gateway/GatewayFixture.java
+++ b/server/src/test/java/org/clementinequay/server/gateway/GatewayFixture.java
@@ -157,7 +157,7 @@
     return sent.get(sent.size() - 1);
   }
 
-  private UpstreamTransport.Call send(OutboundRequest request, UpstreamListener listener) {
+  UpstreamTransport.Call send(OutboundRequest request, UpstreamListener listener) {
     SentAttempt attempt = new SentAttempt(request.headers(), listener);
     sent.add(attempt);
     return attempt;
