Let silence alone end no answer

Cause, as far as shown: a stream that is moved for silence was broken off if the upstreams that it was moved to were full, as their rejections used up its attempts; and a connection without a byte for 5 s was closed, whatever the request. Whether these are what the users saw is not known.

Change: an upstream that was given up for silence alone is tried again when no other one takes the request, and rejections after such a move do not count as attempts. The idle time that a connection bears is the remaining time of the request.

Ruled out: to keep the silent connection open beside the new attempt; the request would go on at two servers.

--- a/server/src/main/java/org/clementinequay/server/gateway/AttemptPlacement.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/AttemptPlacement.java
@@ -91,7 +91,24 @@
    * there is no candidate.
    */
   Optional<Selection> select(Set<String> triedIds) {
-    List<UpstreamInstance> candidates = candidates(triedIds);
+    return select(candidates(triedIds));
+  }
+
+  /**
+   * Selects one of the given upstreams although it was tried, and even if it is ejected; empty if
+   * none of them accepts requests.
+   */
+  Optional<Selection> selectAgain(Set<String> ids) {
+    List<UpstreamInstance> candidates = new ArrayList<>();
+    for (UpstreamInstance instance : gateway.available(service)) {
+      if (ids.contains(instance.id()) && !isStoppedTarget(instance)) {
+        candidates.add(instance);
+      }
+    }
+    return select(candidates);
+  }
+
+  private Optional<Selection> select(List<UpstreamInstance> candidates) {
     while (!candidates.isEmpty()) {
       EngineSelector.Choice choice = choose(candidates);
       UpstreamInstance instance = findById(candidates, choice.engine());
@@ -111,7 +128,7 @@
       result = untriedOfVersion(triedIds, shift, !target && shift.get().reason().isEmpty());
     }
     if (result.isEmpty()) {
-      result = untriedInOwnDomain(triedIds, shift);
+      result = untriedInOwnDomain(triedIds);
     }
     shuffle(result);
     return result;
@@ -160,15 +177,10 @@
    * is cut off all remote upstreams are unreachable, and a local one that was ejected for being
    * slow is better than a refusal.
    */
-  private List<UpstreamInstance> untriedInOwnDomain(
-      Set<String> triedIds, Optional<TrafficShift> shift) {
+  private List<UpstreamInstance> untriedInOwnDomain(Set<String> triedIds) {
     List<UpstreamInstance> result = new ArrayList<>();
     for (UpstreamInstance instance : gateway.available(service)) {
-      boolean targetStopped =
-          shift.isPresent()
-              && shift.get().share(gateway.clock.nanoTime()) <= 0
-              && instance.version().equals(shift.get().order().target());
-      if (!targetStopped
+      if (!isStoppedTarget(instance)
           && !triedIds.contains(instance.id())
           && instance.domain().equals(gateway.domain)) {
         result.add(instance);
@@ -177,6 +189,15 @@
     return result;
   }
 
+  /** Returns whether an upstream has the target version of a shift that sends it no traffic. */
+  private boolean isStoppedTarget(UpstreamInstance instance) {
+    return gateway
+        .shift(service)
+        .filter(shift -> shift.share(gateway.clock.nanoTime()) <= 0)
+        .map(shift -> shift.order().target().equals(instance.version()))
+        .orElse(false);
+  }
+
   /**
    * Without shuffling, hosts with the same knowledge would all choose the same of equal upstreams.
    */
--- a/server/src/main/java/org/clementinequay/server/gateway/GatewayAttempt.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/GatewayAttempt.java
@@ -205,6 +205,7 @@
         forwarder.route.kind().streaming() && gateway.health.recordUnreachable(instance.id());
     forwarder.abortCall(this, reason);
     forwarder.placement.recordFailure(instance);
+    forwarder.recordSilent(instance);
     gateway.recordStalled(new StalledAttempt(instance, forwarder.route.name()));
     forwarder.log(
         "stalled",
@@ -388,6 +389,7 @@
       forwarder.attempts--;
     } else {
       gateway.health.recordAbandoned(instance.id());
+      forwarder.recordRejected();
     }
     forwarder.retryOrFail(AttemptEnd.NOT_RUN, "the upstreams are full");
   }
--- a/server/src/main/java/org/clementinequay/server/gateway/RequestForwarder.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/RequestForwarder.java
@@ -35,9 +35,6 @@
   /** Minimum remaining time for which an attempt is started, in milliseconds. */
   private static final long MIN_ATTEMPT_MILLIS = 30;
 
-  /** Time without a byte after which the connection of a stream is considered dead, in ms. */
-  private static final long STREAM_IDLE_TIMEOUT_MILLIS = 5000;
-
   static final int BAD_GATEWAY = 502;
   static final int UNAVAILABLE = 503;
   private static final int GATEWAY_TIMEOUT = 504;
@@ -56,6 +53,10 @@
   final List<String> sharedPartIds;
 
   final Set<String> triedIds = new HashSet<>();
+
+  /** Upstreams that were given up for silence alone; they may be sound and go on. */
+  private final Set<String> silentIds = new HashSet<>();
+
   final AttemptPlacement placement;
   final EventSplitter events;
   final OpenCalls openCalls = new OpenCalls(this);
@@ -213,6 +214,10 @@
       return;
     }
     Optional<AttemptPlacement.Selection> selection = placement.select(triedIds);
+    if (selection.isEmpty()) {
+      selection = placement.selectAgain(silentIds);
+      silentIds.clear();
+    }
     if (selection.isEmpty()) {
       fail(mayHaveRun ? BAD_GATEWAY : UNAVAILABLE, "no upstream is available");
       return;
@@ -245,7 +250,7 @@
                   gateway.protocol.attemptHeaders(request, metadata),
                   body,
                   !route.kind().retryable(),
-                  streaming ? Math.min(remaining, STREAM_IDLE_TIMEOUT_MILLIS) : remaining),
+                  remaining),
               attempt);
     } catch (RuntimeException e) {
       // For instance an address that an upstream cannot have.
@@ -316,6 +321,22 @@
     openCalls.add(() -> attempt.call.abort(new IOException(reason)));
   }
 
+  /**
+   * Records that an upstream was given up for silence. It is tried again if no other upstream takes
+   * the request: silence alone must not end an answer.
+   */
+  void recordSilent(UpstreamInstance instance) {
+    silentIds.add(instance.id());
+  }
+
+  /** Records that the upstream of the last attempt did not run the request. */
+  void recordRejected() {
+    if (!silentIds.isEmpty()) {
+      // Otherwise the rejections of full upstreams would use up the attempts of the request.
+      attempts--;
+    }
+  }
+
   /** Takes a retry from the budget if an upstream that was not tried could continue the request. */
   boolean tryRetryElsewhere() {
     return canAttemptAgain() && placement.hasCandidate(triedIds) && gateway.tryRetry(service);
