Do not take a refusal without an id for the request that waits

What callers may see, as an operator of another system reported: "not run, try again" for a request that an upstream runs, or a stream that goes on at a second upstream meanwhile, because a faulty upstream wrote an earlier refusal once more on a kept connection.

Cause: refusals with the id of another request were recognised, those without an id were not. Requests that may run once were never affected: each has a connection of its own.

Change: on a kept connection a refusal without the request's id closes the connection, and the request counts as one that may have run.

--- a/server/src/main/java/org/clementinequay/server/gateway/GatewayAttempt.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/GatewayAttempt.java
@@ -145,6 +145,12 @@
       return;
     }
     head = response;
+    if (isUnidentifiedRefusal()) {
+      forwarder.mayHaveRun = true;
+      forwarder.abortCall(this, "refusal without the id of the request");
+      attemptRejected();
+      return;
+    }
     if (isRelaying() && !forwarder.committed && forwarder.placement.hasLargerModel()) {
       escalate();
     }
@@ -187,6 +193,16 @@
         && (response.sealed() || !response.success());
   }
 
+  /**
+   * Returns whether a refusal on a connection that had other requests before lacks the id of the
+   * request. A faulty upstream may have repeated an earlier refusal there, and run this request.
+   */
+  private boolean isUnidentifiedRefusal() {
+    return (head.misdirected() || head.notRun())
+        && head.requestId().isEmpty()
+        && forwarder.route.kind().retryable();
+  }
+
   private double requiredConfidence() {
     return EscalationRule.confidenceThreshold(
         new EscalationRule.Progress(
