Answer 502 to a request whose handling fails unexpectedly

Cause: after an unexpected exception the request was refused with 503, which says that it has not run, unless an attempt was current. The handling of an answer takes the attempt out before it notes that the request may have run; an exception in between would have led to an untrue refusal. Found by reading the change; no run showed it.

Change: such a request gets 502, which promises nothing. The comment of the class says how the lock is taken.

Evidence: RequestForwarderIsolationTest, leadToNoRefusalOfARequestThatMayHaveRun, got 503 before. Ruled out: to note the state before each step, which the next change could miss again.

--- a/server/src/main/java/org/clementinequay/server/gateway/RequestForwarder.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/RequestForwarder.java
@@ -21,10 +21,11 @@
  * Forwards one caller's request: sends it to one upstream after another until one responds, as
  * often as the kind of request, the route and the retry budget allow, and relays the response. A
  * resumable stream that breaks off is resumed on another upstream after the last complete event.
- * All state is guarded by this object's lock, which {@link #openCalls} takes; methods that are not
- * called by other objects' threads require that the caller holds it. Upstreams and the caller are
- * called only through it: Jetty may handle other requests in the calling thread, and these need the
- * locks of their own forwarders.
+ *
+ * <p>All state is guarded by this object's lock. Events come in through {@link #update}, which
+ * takes it; methods that do not use {@code update} require that it is held. Upstreams and the
+ * caller are called through {@link #openCalls} only: Jetty may handle other requests in the calling
+ * thread, which need the locks of their own forwarders.
  */
 final class RequestForwarder {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
@@ -113,9 +114,9 @@
 
   private void endAfterException() {
     if (!finished) {
-      mayHaveRun |= current != null;
       abandonCurrent("internal error");
-      fail(mayHaveRun ? BAD_GATEWAY : UNAVAILABLE, "internal error");
+      // What the interrupted change knew is lost, so nothing is said about whether the request ran.
+      fail(BAD_GATEWAY, "internal error");
     }
   }
 
--- a/server/src/test/java/org/clementinequay/server/gateway/RequestForwarderIsolationTest.java
+++ b/server/src/test/java/org/clementinequay/server/gateway/RequestForwarderIsolationTest.java
@@ -71,6 +71,20 @@
       assertEquals(fixture.finishedStatuses.size(), 21);
     }
 
+    // Guards against a refusal that says the request has not run, if the handling of its answer
+    // fails after the attempt was taken out and before it counted as one that may have run.
+    @Test
+    public void leadToNoRefusalOfARequestThatMayHaveRun() {
+      GatewayFixture fixture = new GatewayFixture();
+      RequestForwarder forwarder = fixture.start(RequestKind.AT_MOST_ONCE, CALLER_NAMES_MODEL);
+      forwarder.update(
+          () -> {
+            forwarder.current = null;
+            throw new IllegalStateException("unexpected");
+          });
+      assertEquals(fixture.response.status, 502);
+    }
+
     @Test
     public void areAnswered() {
       GatewayFixture fixture = new GatewayFixture();
