Say in comments how connections close and why tasks go on

Three comments of the last commits would stop a newcomer: who closes a connection after its last response, why a periodic task survives an error, and which addresses a probe takes for silent. No code changes.

--- a/server/src/main/java/org/clementinequay/server/gateway/CloseAwareEndPoint.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/CloseAwareEndPoint.java
@@ -61,8 +61,8 @@
   }
 
   /**
-   * Takes no further request: closes the connection after the response to the request in progress,
-   * or at once if there is none.
+   * Takes no further request. Without a request in progress the connection is closed at once;
+   * otherwise reads return the end of input after {@link #endRequest}, and Jetty closes it.
    */
   void closeAfterRequest() {
     boolean idle;
--- a/server/src/main/java/org/clementinequay/server/gateway/ConnectProbe.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/ConnectProbe.java
@@ -19,6 +19,7 @@
     } catch (ConnectException e) {
       return Result.REFUSED;
     } catch (IOException | IllegalArgumentException | IllegalStateException e) {
+      // No connection in time, or an address to which none can be opened.
       return Result.SILENT;
     }
   }
--- a/server/src/main/java/org/clementinequay/server/gateway/PeriodicTask.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/PeriodicTask.java
@@ -35,7 +35,7 @@
         try {
           pause = step.run();
         } catch (RuntimeException | StackOverflowError | OutOfMemoryError e) {
-          // The host would go on without the task, with deadlines or lists that nobody keeps.
+          // Without its thread the host would go on serving, but with this task never done again.
           logger.atSevere().withCause(e).log(
               "periodic task %s failed; it continues after a pause",
               Thread.currentThread().getName());
