Log the state of each request that the end of a host breaks off

`cut` now has the times of the head and of the end of the body after the signal and the number of the request on its connection; `cut_attempt` has the attempts and the time of the last one.

The exchange with a caller moves to a class of its own; the handler keeps the open ones instead of their number. No decision changes.

--- /dev/null
+++ b/server/src/main/java/org/clementinequay/server/gateway/CallerExchange.java
@@ -0,0 +1,151 @@
+package org.clementinequay.server.gateway;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
+import org.clementinequay.core.forward.ForwardingConfiguration;
+import org.eclipse.jetty.http.HttpField;
+import org.eclipse.jetty.http.HttpFields;
+import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.util.Callback;
+
+/** One request of a caller, from its head to the end of its response. */
+final class CallerExchange implements CallerResponse {
+  private final Gateway gateway;
+  private final Response response;
+  private final Callback callback;
+  private final CloseAwareEndPoint endPoint;
+  private final BooleanSupplier draining;
+  private final AtomicBoolean completed = new AtomicBoolean();
+
+  /** Time at which the head of the request was read. */
+  final long receivedNanos;
+
+  private volatile long bodyNanos;
+  private volatile RequestForwarder forwarder;
+  private boolean headSet;
+
+  /**
+   * Creates an exchange whose head was just read.
+   *
+   * @param endPoint connection of the caller; null if it is of another kind
+   * @param draining whether responses announce the close of the connection
+   * @param onEnd called when the response was written or failed, before the next request is read
+   */
+  CallerExchange(
+      Gateway gateway,
+      Response response,
+      Callback callback,
+      CloseAwareEndPoint endPoint,
+      BooleanSupplier draining,
+      Consumer<CallerExchange> onEnd) {
+    this.gateway = gateway;
+    this.response = response;
+    this.callback = Callback.from(() -> onEnd.accept(this), callback);
+    this.endPoint = endPoint;
+    this.draining = draining;
+    this.receivedNanos = gateway.clock.nanoTime();
+  }
+
+  /** Records that the whole body was read. */
+  void bodyRead() {
+    bodyNanos = gateway.clock.nanoTime();
+  }
+
+  /** Records that the request is forwarded. */
+  void forwardedBy(RequestForwarder value) {
+    forwarder = value;
+  }
+
+  /** Logs that the end of the process breaks off this request. */
+  void logCut(long stopNanos) {
+    RequestForwarder running = forwarder;
+    gateway.log.record(
+        "cut",
+        "request",
+        running == null ? "" : running.request.id().orElse(""),
+        "head_ms",
+        (receivedNanos - stopNanos) / 1_000_000,
+        "body_read",
+        bodyNanos != 0,
+        "body_ms",
+        bodyNanos == 0 ? 0 : (bodyNanos - stopNanos) / 1_000_000,
+        "request_of_connection",
+        endPoint == null ? 0 : endPoint.requestCount());
+    if (running != null) {
+      running.logCut(stopNanos);
+    }
+  }
+
+  /** Refuses a request that was not sent to any upstream. */
+  void refuse(String id, int status, String reason) {
+    long version = gateway.configuration().map(ForwardingConfiguration::version).orElse(0L);
+    gateway.log.record(
+        "refused", "request", id, "status", status, "reason", reason, "configuration", version);
+    long elapsedNanos = gateway.clock.nanoTime() - receivedNanos;
+    gateway.observer.requestFinished("", "", status, "refused", 0, elapsedNanos);
+    sendComplete(
+        status,
+        ErrorResponses.headers(status, ErrorResponses.DEFAULT_RETRY_AFTER_SECONDS),
+        ErrorResponses.body(reason));
+  }
+
+  @Override
+  public void sendComplete(int status, HttpFields headers, byte[] body) {
+    if (headSet) {
+      abort("the response has begun with another head");
+      return;
+    }
+    if (completed.compareAndSet(false, true)) {
+      setHead(status, headers);
+      response.getHeaders().put(HttpHeader.CONTENT_LENGTH, body.length);
+      response.write(true, ByteBuffer.wrap(body), callback);
+    }
+  }
+
+  @Override
+  public void sendHead(int status, HttpFields headers) {
+    setHead(status, headers);
+    // Jetty omits the chunked encoding on a connection that will close, and a truncated response
+    // would then look complete.
+    response.getHeaders().put(HttpHeader.TRANSFER_ENCODING, "chunked");
+  }
+
+  private void setHead(int status, HttpFields headers) {
+    headSet = true;
+    response.setStatus(status);
+    for (HttpField field : headers) {
+      response.getHeaders().add(field);
+    }
+    if (draining.getAsBoolean()) {
+      response.getHeaders().put(HttpHeader.CONNECTION, "close");
+    }
+  }
+
+  @Override
+  public void sendPart(ByteBuffer bytes, Callback sent) {
+    response.write(false, bytes, sent);
+  }
+
+  @Override
+  public void end() {
+    if (completed.compareAndSet(false, true)) {
+      response.write(true, null, callback);
+    }
+  }
+
+  @Override
+  public boolean isDisconnected() {
+    return endPoint != null && endPoint.isClosedByCaller();
+  }
+
+  @Override
+  public void abort(String reason) {
+    if (completed.compareAndSet(false, true)) {
+      callback.failed(new IOException(reason));
+    }
+  }
+}
--- a/server/src/main/java/org/clementinequay/server/gateway/CloseAwareEndPoint.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/CloseAwareEndPoint.java
@@ -31,6 +31,7 @@
   private ByteBuffer unreadBytes;
   private boolean requestInProgress;
   private boolean closing;
+  private int requestCount;
 
   CloseAwareEndPoint(
       SocketChannel channel,
@@ -49,10 +50,18 @@
         return false;
       }
       requestInProgress = true;
+      requestCount++;
       return true;
     }
   }
 
+  /** Returns the number of requests that were begun on this connection. */
+  int requestCount() {
+    synchronized (lock) {
+      return requestCount;
+    }
+  }
+
   /** Ends the request in progress. Must be called before Jetty reads the next one. */
   void endRequest() {
     synchronized (lock) {
--- a/server/src/main/java/org/clementinequay/server/gateway/GatewayAttempt.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/GatewayAttempt.java
@@ -48,7 +48,7 @@
   private final Gateway gateway;
   final UpstreamInstance instance;
   private final EngineSelector.Choice choice;
-  private final long startedNanos;
+  final long startedNanos;
   private final ByteArrayOutputStream bufferedBody = new ByteArrayOutputStream();
   UpstreamTransport.Call call;
   private ResponseHead head;
--- a/server/src/main/java/org/clementinequay/server/gateway/GatewayHandler.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/GatewayHandler.java
@@ -2,16 +2,12 @@
 
 import com.google.common.flogger.FluentLogger;
 import java.io.IOException;
-import java.nio.ByteBuffer;
 import java.util.Optional;
-import java.util.concurrent.atomic.AtomicBoolean;
-import java.util.concurrent.atomic.AtomicLong;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import org.clementinequay.core.forward.AccountKeys;
 import org.clementinequay.core.forward.ForwardingConfiguration;
 import org.clementinequay.core.forward.Route;
-import org.eclipse.jetty.http.HttpField;
-import org.eclipse.jetty.http.HttpFields;
-import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.io.Content;
 import org.eclipse.jetty.io.EndPoint;
@@ -30,7 +26,7 @@
   private static final int DEFAULT_MAX_BODY_BYTES = 4 << 20;
 
   private final Gateway gateway;
-  private final AtomicLong openRequests = new AtomicLong();
+  private final Set<CallerExchange> openExchanges = ConcurrentHashMap.newKeySet();
   private volatile boolean draining;
 
   public GatewayHandler(Gateway gateway) {
@@ -47,32 +43,36 @@
 
   /** Returns the number of requests in progress. */
   public long openRequests() {
-    return openRequests.get();
+    return openExchanges.size();
+  }
+
+  /** Logs the requests in progress, which the end of the process breaks off. */
+  void logCutRequests(long stopNanos) {
+    openExchanges.forEach(exchange -> exchange.logCut(stopNanos));
   }
 
   @Override
   public boolean handle(Request request, Response response, Callback callback) {
-    long receivedNanos = gateway.clock.nanoTime();
     CloseAwareEndPoint endPoint = closeAwareEndPoint(request);
     if (endPoint != null && !endPoint.tryBeginRequest()) {
       endPoint.close();
       callback.failed(new IOException("the connection was closed before the request"));
       return true;
     }
-    openRequests.incrementAndGet();
-    Callback completion = Callback.from(() -> endRequest(endPoint), callback);
-    JettyCallerResponse callerResponse =
-        new JettyCallerResponse(response, completion, endPoint, receivedNanos);
+    CallerExchange exchange =
+        new CallerExchange(
+            gateway, response, callback, endPoint, () -> draining, e -> endRequest(e, endPoint));
+    openExchanges.add(exchange);
     int maxBodyBytes =
         gateway.configuration().map(c -> c.limits().maxBodyBytes()).orElse(DEFAULT_MAX_BODY_BYTES);
     Content.Source.asByteArrayAsync(request, maxBodyBytes)
         .whenComplete(
             (body, failure) -> {
               try {
-                onBodyRead(request, body, failure, callerResponse, endPoint);
+                onBodyRead(request, body, failure, exchange, endPoint);
               } catch (RuntimeException e) {
                 logger.atSevere().withCause(e).log("a request could not be handled");
-                callerResponse.refuse("", HttpStatus.INTERNAL_SERVER_ERROR_500, "internal error");
+                exchange.refuse("", HttpStatus.INTERNAL_SERVER_ERROR_500, "internal error");
               }
             });
     return true;
@@ -81,8 +81,8 @@
   /**
    * Called when a response was written and before Jetty reads the next request of its connection.
    */
-  private void endRequest(CloseAwareEndPoint endPoint) {
-    openRequests.decrementAndGet();
+  private void endRequest(CallerExchange exchange, CloseAwareEndPoint endPoint) {
+    openExchanges.remove(exchange);
     if (endPoint == null) {
       return;
     }
@@ -97,24 +97,25 @@
       Request request,
       byte[] body,
       Throwable failure,
-      JettyCallerResponse callerResponse,
+      CallerExchange exchange,
       CloseAwareEndPoint endPoint) {
     GatewayRequest parsed;
     try {
       parsed = gateway.protocol.decode(request);
     } catch (MalformedRequestException e) {
-      callerResponse.refuse("", HttpStatus.BAD_REQUEST_400, e.getMessage());
+      exchange.refuse("", HttpStatus.BAD_REQUEST_400, e.getMessage());
       return;
     }
     String id = parsed.id().orElse("");
     if (failure == null) {
-      forward(parsed, body, callerResponse, endPoint);
+      exchange.bodyRead();
+      forward(parsed, body, exchange, endPoint);
     } else if (failure instanceof IllegalStateException
         || failure.getCause() instanceof IllegalStateException) {
-      callerResponse.refuse(id, HttpStatus.PAYLOAD_TOO_LARGE_413, "the body is too long");
+      exchange.refuse(id, HttpStatus.PAYLOAD_TOO_LARGE_413, "the body is too long");
     } else {
       gateway.log.record("body_broken", "request", id, "reason", Failures.summary(failure));
-      callerResponse.abort("the body could not be read");
+      exchange.abort("the body could not be read");
     }
   }
 
@@ -124,26 +125,22 @@
   }
 
   private void forward(
-      GatewayRequest request,
-      byte[] body,
-      JettyCallerResponse callerResponse,
-      CloseAwareEndPoint endPoint) {
+      GatewayRequest request, byte[] body, CallerExchange exchange, CloseAwareEndPoint endPoint) {
     String id = request.id().orElse("");
     Optional<ForwardingConfiguration> configuration = gateway.configuration();
     if (configuration.isEmpty()) {
-      callerResponse.refuse(
-          id, HttpStatus.SERVICE_UNAVAILABLE_503, "no configuration is known yet");
+      exchange.refuse(id, HttpStatus.SERVICE_UNAVAILABLE_503, "no configuration is known yet");
       return;
     }
     Optional<Route> route = configuration.get().routes().find(request.host(), request.path());
     if (route.isEmpty()) {
-      callerResponse.refuse(id, HttpStatus.NOT_FOUND_404, "no such route");
+      exchange.refuse(id, HttpStatus.NOT_FOUND_404, "no such route");
       return;
     }
     Optional<AccountKeys> account = request.apiKey().flatMap(configuration.get()::account);
     boolean requiresKey = configuration.get().requiresApiKeys() && !route.get().anonymousAccess();
     if (requiresKey && account.isEmpty()) {
-      callerResponse.refuse(id, HttpStatus.UNAUTHORIZED_401, "unknown API key");
+      exchange.refuse(id, HttpStatus.UNAUTHORIZED_401, "unknown API key");
       return;
     }
     Runnable onFinished = endPoint == null ? () -> {} : endPoint::stopWatching;
@@ -154,98 +151,13 @@
             route.get(),
             account,
             body,
-            callerResponse,
-            callerResponse.receivedNanos,
+            exchange,
+            exchange.receivedNanos,
             onFinished);
+    exchange.forwardedBy(forwarder);
     if (endPoint != null) {
       endPoint.watchForClose(forwarder::callerDisconnected);
     }
     forwarder.start();
   }
-
-  private final class JettyCallerResponse implements CallerResponse {
-    private final Response response;
-    private final Callback callback;
-    private final CloseAwareEndPoint endPoint;
-    private final AtomicBoolean completed = new AtomicBoolean();
-    private final long receivedNanos;
-    private boolean headSet;
-
-    private JettyCallerResponse(
-        Response response, Callback callback, CloseAwareEndPoint endPoint, long receivedNanos) {
-      this.response = response;
-      this.callback = callback;
-      this.endPoint = endPoint;
-      this.receivedNanos = receivedNanos;
-    }
-
-    /** Refuses a request that was not sent to any upstream. */
-    private void refuse(String id, int status, String reason) {
-      long version = gateway.configuration().map(ForwardingConfiguration::version).orElse(0L);
-      gateway.log.record(
-          "refused", "request", id, "status", status, "reason", reason, "configuration", version);
-      long elapsedNanos = gateway.clock.nanoTime() - receivedNanos;
-      gateway.observer.requestFinished("", "", status, "refused", 0, elapsedNanos);
-      sendComplete(
-          status,
-          ErrorResponses.headers(status, ErrorResponses.DEFAULT_RETRY_AFTER_SECONDS),
-          ErrorResponses.body(reason));
-    }
-
-    @Override
-    public void sendComplete(int status, HttpFields headers, byte[] body) {
-      if (headSet) {
-        abort("the response has begun with another head");
-        return;
-      }
-      if (completed.compareAndSet(false, true)) {
-        setHead(status, headers);
-        response.getHeaders().put(HttpHeader.CONTENT_LENGTH, body.length);
-        response.write(true, ByteBuffer.wrap(body), callback);
-      }
-    }
-
-    @Override
-    public void sendHead(int status, HttpFields headers) {
-      setHead(status, headers);
-      // Jetty omits the chunked encoding on a connection that will close, and a truncated response
-      // would then look complete.
-      response.getHeaders().put(HttpHeader.TRANSFER_ENCODING, "chunked");
-    }
-
-    private void setHead(int status, HttpFields headers) {
-      headSet = true;
-      response.setStatus(status);
-      for (HttpField field : headers) {
-        response.getHeaders().add(field);
-      }
-      if (draining) {
-        response.getHeaders().put(HttpHeader.CONNECTION, "close");
-      }
-    }
-
-    @Override
-    public void sendPart(ByteBuffer bytes, Callback sent) {
-      response.write(false, bytes, sent);
-    }
-
-    @Override
-    public void end() {
-      if (completed.compareAndSet(false, true)) {
-        response.write(true, null, callback);
-      }
-    }
-
-    @Override
-    public boolean isDisconnected() {
-      return endPoint != null && endPoint.isClosedByCaller();
-    }
-
-    @Override
-    public void abort(String reason) {
-      if (completed.compareAndSet(false, true)) {
-        callback.failed(new IOException(reason));
-      }
-    }
-  }
 }
--- a/server/src/main/java/org/clementinequay/server/gateway/GatewayHost.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/GatewayHost.java
@@ -228,6 +228,7 @@
     if (handler.openRequests() > 0) {
       logger.atWarning().log("shutdown aborts %d open requests", handler.openRequests());
     }
+    handler.logCutRequests(start);
     log.record("stopped", "cut", handler.openRequests());
     tasks.forEach(PeriodicTask::close);
     peers.close();
--- a/server/src/main/java/org/clementinequay/server/gateway/RequestForwarder.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/RequestForwarder.java
@@ -414,6 +414,24 @@
     return (gateway.clock.nanoTime() - receivedNanos) / 1_000_000;
   }
 
+  /** Logs the state of a request that the end of the process breaks off. */
+  void logCut(long stopNanos) {
+    update(
+        () ->
+            log(
+                "cut_attempt",
+                "attempts",
+                attempts,
+                "upstream",
+                current == null ? "" : current.instance.id(),
+                "attempt_ms",
+                current == null ? 0 : (current.startedNanos - stopNanos) / 1_000_000,
+                "answer_begun",
+                committed,
+                "may_have_run",
+                mayHaveRun));
+  }
+
   void log(String event, Object... fields) {
     Object[] allFields = new Object[fields.length + 4];
     allFields[0] = "request";
