--- a/server/src/main/java/org/clementinequay/server/gateway/Gateway.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/Gateway.java
@@ -17,12 +17,15 @@
 import org.clementinequay.core.dispatch.UpstreamHealthTracker;
 import org.clementinequay.core.forward.ForwardingConfiguration;
 import org.clementinequay.core.forward.InstanceDirectory;
+import org.clementinequay.core.forward.Route;
 import org.clementinequay.core.forward.UpstreamInstance;
 import org.clementinequay.core.placement.EngineSelector;
 import org.clementinequay.core.rollout.ShiftOrder;
 import org.clementinequay.core.rollout.SlowAnswerDetector;
 import org.clementinequay.core.rollout.TrafficShift;
 import org.clementinequay.core.session.SessionVersions;
+import org.clementinequay.core.stop.RecentDurations;
+import org.clementinequay.core.stop.StopAdmission;
 import org.clementinequay.core.time.RuntimeClock;
 
 /**
@@ -54,6 +57,10 @@
   final EngineSelector engineSelector = new EngineSelector();
   final SessionVersions sessions;
   final SlowAnswerDetector slowAnswers = new SlowAnswerDetector();
+
+  /** Times from the start of the first attempt to the end of the answer, by route. */
+  final RecentDurations durations = new RecentDurations();
+
   final CrashGuard crashGuard;
   final RandomGenerator random;
   final String hostName;
@@ -66,6 +73,7 @@
   private final Supplier<RetryWindow> budgetFactory;
   private volatile ForwardingConfiguration configuration;
   private volatile Map<String, List<UpstreamInstance>> available = Map.of();
+  private volatile StopAdmission stopAdmission;
 
   private Gateway(Builder builder) {
     this.hostName = Objects.requireNonNull(builder.hostName);
@@ -158,6 +166,22 @@
     return available.getOrDefault(service, List.of());
   }
 
+  /** Limits the requests that are passed on from now on to those that end before the host does. */
+  void startStop(StopAdmission admission) {
+    stopAdmission = admission;
+  }
+
+  /**
+   * Returns whether an answer whose attempt begins now can be complete before this host ends.
+   *
+   * @param limit time within which the request ends in any case
+   */
+  boolean canFinish(Route route, Duration limit) {
+    StopAdmission admission = stopAdmission;
+    return admission == null
+        || admission.admits(clock.nanoTime(), limit, durations.usual(route.name()));
+  }
+
   /** Returns whether an upstream is listed and not leaving. */
   boolean accepts(UpstreamInstance instance) {
     return available(instance.service()).stream().anyMatch(instance::isSameProcess);
--- a/server/src/main/java/org/clementinequay/server/gateway/GatewayAttempt.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/GatewayAttempt.java
@@ -116,7 +116,7 @@
 
   /**
    * Returns false, so that nothing is sent, if the caller or the upstream left while the request
-   * waited for a connection.
+   * waited for a connection, or if this host stops and the time left has become too short.
    */
   @Override
   public boolean isStillNeeded() {
@@ -125,6 +125,9 @@
           if (isActive() && forwarder.response.isDisconnected()) {
             forwarder.callerDisconnected();
           }
+          if (isActive() && !forwarder.canFinish()) {
+            forwarder.refuseForStop();
+          }
           return isActive() && gateway.accepts(instance);
         });
   }
@@ -359,7 +362,7 @@
       return;
     }
     attemptSucceeded();
-    forwarder.finish(head.status(), "none");
+    forwarder.finishComplete(head.status());
     forwarder.log(
         "done",
         "upstream",
@@ -381,7 +384,7 @@
       upstreamFailed();
     } else {
       attemptSucceeded();
-      forwarder.finish(head.status(), "none");
+      forwarder.finishComplete(head.status());
       forwarder.log(
           "done",
           "upstream",
--- a/server/src/main/java/org/clementinequay/server/gateway/GatewayHost.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/GatewayHost.java
@@ -15,6 +15,8 @@
 import org.clementinequay.core.spread.ReadSchedule;
 import org.clementinequay.core.spread.StoreClock;
 import org.clementinequay.core.spread.StoreReadTimings;
+import org.clementinequay.core.stop.StopAdmission;
+import org.clementinequay.core.stop.StopSchedule;
 import org.clementinequay.core.time.RuntimeClock;
 import org.clementinequay.server.metrics.RouterMetrics;
 import org.clementinequay.server.peer.PeerIdentity;
@@ -27,12 +29,6 @@
 public final class GatewayHost implements AutoCloseable {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
-  /** Time after the stop signal during which the load balancer's last connections are accepted. */
-  private static final Duration ACCEPT_AFTER_STOP = Duration.ofMillis(2800);
-
-  /** Time before the end of the grace period at which open requests are aborted. */
-  private static final Duration STOP_MARGIN = Duration.ofMillis(700);
-
   private static final double MIN_WEIGHT = 0.01;
 
   /**
@@ -204,20 +200,22 @@
   }
 
   /**
-   * Stops gracefully. The readiness check fails at once while connections are still accepted for
-   * {@link #ACCEPT_AFTER_STOP}, except on connections whose response ends meanwhile: those are
-   * closed. Then idle connections are closed as well, and open requests may finish until {@link
-   * #STOP_MARGIN} before the end of the grace period.
+   * Stops gracefully within the grace period, see {@link StopSchedule}. The readiness check fails
+   * at once while connections are still accepted, except on connections whose response ends
+   * meanwhile: those are closed. Then idle connections are closed as well. Requests that cannot end
+   * in time are refused before they are passed on; the others may end.
    */
   @Override
   public void close() throws Exception {
     log.record("stopping", "open", handler.openRequests());
     long start = clock.nanoTime();
+    StopSchedule schedule = StopSchedule.forGracePeriod(seconds(settings.stopSeconds()));
     readinessHandler.startDraining();
+    gateway.startStop(new StopAdmission(schedule, start));
     handler.startDraining();
-    clock.sleep(ACCEPT_AFTER_STOP);
+    clock.sleep(schedule.acceptance());
     connector.close();
-    long deadline = start + seconds(settings.stopSeconds()).minus(STOP_MARGIN).toNanos();
+    long deadline = start + schedule.end().toNanos();
     while (clock.nanoTime() < deadline) {
       connector.closeAfterRequests();
       if (handler.openRequests() == 0) {
--- a/server/src/main/java/org/clementinequay/server/gateway/RequestForwarder.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/RequestForwarder.java
@@ -33,6 +33,15 @@
   /** Time past the deadline in which an upstream may still report its timeout, in milliseconds. */
   static final long DEADLINE_GRACE_MILLIS = 100;
 
+  /** Longest time by which a request outlives its deadline. */
+  private static final Duration MAX_OVERRUN =
+      Duration.ofMillis(DEADLINE_GRACE_MILLIS).plus(RequestWatchdog.INTERVAL);
+
+  private static final String STOPPING = "this host stops";
+
+  /** Value of {@code Retry-After} where other hosts can take the request, in seconds. */
+  private static final double RETRY_AT_ONCE_SECONDS = 0;
+
   /** Minimum remaining time for which an attempt is started, in milliseconds. */
   private static final long MIN_ATTEMPT_MILLIS = 30;
 
@@ -70,6 +79,7 @@
   /** Whether the head of the response was sent to the caller. */
   boolean committed;
 
+  private long startedNanos;
   long firstEventNanos;
   boolean finished;
 
@@ -127,6 +137,7 @@
             // The caller disconnected after the watch of its connection began and before this call.
             return;
           }
+          startedNanos = gateway.clock.nanoTime();
           gateway.activeRequests.add(this);
           gateway.recordRequest(service);
           startAttempt();
@@ -179,6 +190,25 @@
         });
   }
 
+  /** Ends the request, whose current attempt was not sent, because this host stops. */
+  void refuseForStop() {
+    abandonCurrent(STOPPING);
+    failStopping();
+  }
+
+  private void failStopping() {
+    fail(mayHaveRun ? BAD_GATEWAY : UNAVAILABLE, STOPPING, RETRY_AT_ONCE_SECONDS);
+  }
+
+  /**
+   * Returns whether an attempt that begins now can complete the answer before this host ends. An
+   * answer that has begun goes on as far as it can.
+   */
+  boolean canFinish() {
+    return committed
+        || gateway.canFinish(route, Duration.ofMillis(remainingMillis()).plus(MAX_OVERRUN));
+  }
+
   private void failQuarantined(Duration remaining) {
     fail(
         mayHaveRun ? BAD_GATEWAY : UNAVAILABLE,
@@ -209,6 +239,10 @@
       fail(mayHaveRun ? GATEWAY_TIMEOUT : UNAVAILABLE, "no time is left");
       return;
     }
+    if (!canFinish()) {
+      failStopping();
+      return;
+    }
     Optional<Duration> quarantined = gateway.crashGuard.quarantined(service, sharedPartIds);
     if (quarantined.isPresent()) {
       failQuarantined(quarantined.get());
@@ -354,7 +388,7 @@
   }
 
   private boolean canAttemptAgain() {
-    return attempts < route.maxAttempts() && remainingMillis() >= MIN_ATTEMPT_MILLIS;
+    return attempts < route.maxAttempts() && remainingMillis() >= MIN_ATTEMPT_MILLIS && canFinish();
   }
 
   /** Starts another attempt if {@link #tryRetry} allows it; otherwise fails the request. */
@@ -397,6 +431,13 @@
     openCalls.addInOrder(() -> response.sendComplete(status, headers, content));
   }
 
+  /** Records that the answer is complete; its last bytes may still be sent. */
+  void finishComplete(int status) {
+    gateway.durations.record(
+        route.name(), Duration.ofNanos(gateway.clock.nanoTime() - startedNanos));
+    finish(status, "none");
+  }
+
   void finish(int status, String reason) {
     finished = true;
     gateway.observer.requestFinished(
--- a/server/src/main/java/org/clementinequay/server/gateway/RequestWatchdog.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/RequestWatchdog.java
@@ -7,7 +7,7 @@
 final class RequestWatchdog {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
-  private static final Duration INTERVAL = Duration.ofMillis(100);
+  static final Duration INTERVAL = Duration.ofMillis(100);
 
   /**
    * Time between two checks from which this host itself is considered to have been paused. The
--- /dev/null
+++ b/server/src/test/java/org/clementinequay/server/gateway/RequestForwarderStopTest.java
@@ -0,0 +1,160 @@
+package org.clementinequay.server.gateway;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertNull;
+import static org.testng.Assert.assertTrue;
+
+import java.time.Duration;
+import java.util.List;
+import org.clementinequay.core.forward.RequestKind;
+import org.clementinequay.core.stop.StopAdmission;
+import org.clementinequay.core.stop.StopSchedule;
+import org.eclipse.jetty.http.HttpFields;
+import org.eclipse.jetty.http.HttpHeader;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Guards against requests that a stopping host passes on or keeps although it cannot end them. */
+public class RequestForwarderStopTest {
+  private static final HttpFields NOT_RUN =
+      HttpFields.build(GatewayFixture.ownRequestId()).put("not-run", "1");
+  private static final Duration GRACE = Duration.ofSeconds(8);
+
+  /** Later than requests are passed on without certainty that they end. */
+  private static final Duration LATE = Duration.ofSeconds(4);
+
+  private static String event(int id) {
+    return "id: " + id + "\ndata: x\n\n";
+  }
+
+  /** A host that may stop. */
+  public abstract static class Host {
+    GatewayFixture fixture;
+
+    @BeforeMethod
+    public void start() {
+      fixture = new GatewayFixture();
+    }
+
+    void stop() {
+      fixture.gateway.startStop(
+          new StopAdmission(StopSchedule.forGracePeriod(GRACE), fixture.clock.nanoTime()));
+    }
+
+    void assertRefusedAtOnce() {
+      assertEquals(fixture.response.status, 503);
+      assertEquals(fixture.response.headers.get(HttpHeader.RETRY_AFTER), "0.00");
+      assertTrue(fixture.response.complete);
+      assertTrue(fixture.finishedCallbackRun);
+    }
+  }
+
+  /** Requests that reach the host after the signal. */
+  public static class NewRequests extends Host {
+    @DataProvider
+    public Object[][] kinds() {
+      return new Object[][] {{RequestKind.AT_MOST_ONCE}, {RequestKind.RESUMABLE_STREAM}};
+    }
+
+    @Test(dataProvider = "kinds")
+    public void areRefusedIfTheyMayOutliveTheHost(RequestKind kind) {
+      stop();
+      fixture.clock.advance(LATE);
+      fixture.start(kind, List.of());
+      assertEquals(fixture.sent.size(), 0);
+      assertRefusedAtOnce();
+    }
+
+    @Test(dataProvider = "kinds")
+    public void arePassedOnIfTheirDeadlineIsNearer(RequestKind kind) {
+      fixture.deadlineMillis = 1500;
+      stop();
+      fixture.clock.advance(LATE);
+      fixture.start(kind, List.of());
+      assertEquals(fixture.sent.size(), 1);
+    }
+
+    // Guards against long streams that are taken on while connections are still accepted.
+    @Test
+    public void areRefusedIfSuchStreamsUsuallyTakeLonger() {
+      for (int i = 0; i < 8; i++) {
+        fixture.start(RequestKind.RESUMABLE_STREAM, List.of());
+        fixture.clock.advance(Duration.ofMillis(4900));
+        fixture.lastAttempt().sendHead(200);
+        fixture.lastAttempt().sendContent(event(1));
+        fixture.lastAttempt().endResponse();
+      }
+      int before = fixture.sent.size();
+      fixture.deadlineMillis = 9000;
+      stop();
+      fixture.start(RequestKind.RESUMABLE_STREAM, List.of());
+      assertEquals(fixture.sent.size(), before + 1);
+      fixture.clock.advance(Duration.ofMillis(2450));
+      fixture.start(RequestKind.RESUMABLE_STREAM, List.of());
+      assertEquals(fixture.sent.size(), before + 1);
+      assertRefusedAtOnce();
+    }
+  }
+
+  /** Requests that were passed on before the signal. */
+  public static class RequestsInProgress extends Host {
+    private void startBeforeStop(RequestKind kind, List<String> modelsBySize) {
+      fixture.deadlineMillis = 10_000;
+      fixture.start(kind, modelsBySize);
+      stop();
+      fixture.clock.advance(LATE);
+    }
+
+    // Guards against a late attempt after a refusal, which the end of the host would break off.
+    @Test
+    public void areRefusedInsteadOfSentAgain() {
+      startBeforeStop(RequestKind.AT_MOST_ONCE, List.of());
+      fixture.lastAttempt().respond(503, NOT_RUN, "full");
+      assertEquals(fixture.sent.size(), 1);
+      assertEquals(fixture.response.status, 503);
+    }
+
+    // Guards against a request that waits for a connection and is sent just before the end.
+    @Test
+    public void areRefusedWhileTheyWaitForAConnection() {
+      startBeforeStop(RequestKind.AT_MOST_ONCE, List.of());
+      assertFalse(fixture.lastAttempt().isStillNeeded());
+      assertTrue(fixture.lastAttempt().abandoned);
+      assertRefusedAtOnce();
+    }
+
+    // Guards against a promise that a request has not run although an upstream had it.
+    @Test
+    public void getNoPromiseIfTheyMayHaveRun() {
+      startBeforeStop(RequestKind.RESUMABLE_STREAM, List.of());
+      fixture.lastAttempt().fail(true);
+      assertEquals(fixture.sent.size(), 1);
+      assertEquals(fixture.response.status, 502);
+      assertNull(fixture.response.headers.get(HttpHeader.RETRY_AFTER));
+    }
+
+    // Guards against an answer that is dropped for a better one that can no longer be complete.
+    @Test
+    public void keepTheAnswerOfTheSmallerModel() {
+      startBeforeStop(RequestKind.RESUMABLE_STREAM, List.of("small", "large"));
+      fixture.lastAttempt().sendHead(200, "1");
+      fixture.lastAttempt().sendContent(event(1));
+      fixture.lastAttempt().endResponse();
+      assertEquals(fixture.sent.size(), 1);
+      assertEquals(fixture.response.body.toString(), event(1));
+      assertTrue(fixture.response.complete);
+    }
+
+    @Test
+    public void streamsThatHaveBegunAreStillMoved() {
+      startBeforeStop(RequestKind.RESUMABLE_STREAM, List.of());
+      fixture.lastAttempt().sendHead(200);
+      fixture.lastAttempt().sendContent(event(1));
+      fixture.lastAttempt().fail(true);
+      assertEquals(fixture.sent.size(), 2);
+      assertEquals(fixture.lastAttempt().headers.get("last"), "1");
+    }
+  }
+}
