Answer one more request on connections whose close was not announced

A response could also end with a reset: a connection was closed with bytes of the caller unread.

Cause: closed connections to keep late requests out, which StopAdmission does now.

Change: a connection takes requests until a response has announced its close. After the time in which connections are accepted, it is closed once it has been quiet for 250 ms, in steps: first the output, then, when the caller has closed or 250 ms later, the rest; what arrives meanwhile is read and dropped.

Tests: GatewayStopTest.KeptConnections.

--- a/server/src/main/java/org/clementinequay/server/gateway/CallerConnector.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/CallerConnector.java
@@ -24,11 +24,11 @@
     return endPoint;
   }
 
-  /** Closes each connection after the response to its request in progress, or at once. */
-  public void closeAfterRequests() {
+  /** Closes the connections without a request in progress, see {@link CloseAwareEndPoint}. */
+  void closeQuiet(long nowNanos) {
     for (EndPoint endPoint : getConnectedEndPoints()) {
       if (endPoint instanceof CloseAwareEndPoint closeAware) {
-        closeAware.closeAfterRequest();
+        closeAware.closeIfQuiet(nowNanos);
       }
     }
   }
--- a/server/src/main/java/org/clementinequay/server/gateway/CallerExchange.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/CallerExchange.java
@@ -27,6 +27,7 @@
   private volatile long bodyNanos;
   private volatile RequestForwarder forwarder;
   private boolean headSet;
+  private volatile boolean announcedClose;
 
   /**
    * Creates an exchange whose head was just read.
@@ -60,6 +61,11 @@
     forwarder = value;
   }
 
+  /** Returns whether the response told the caller that the connection takes no further request. */
+  boolean announcedClose() {
+    return announcedClose;
+  }
+
   /** Logs that the end of the process breaks off this request. */
   void logCut(long stopNanos) {
     RequestForwarder running = forwarder;
@@ -121,6 +127,7 @@
       response.getHeaders().add(field);
     }
     if (draining.getAsBoolean()) {
+      announcedClose = true;
       response.getHeaders().put(HttpHeader.CONNECTION, "close");
     }
   }
--- a/server/src/main/java/org/clementinequay/server/gateway/CloseAwareEndPoint.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/CloseAwareEndPoint.java
@@ -32,6 +32,8 @@
   private boolean requestInProgress;
   private boolean closing;
   private int requestCount;
+  private boolean quiet;
+  private long quietSinceNanos;
 
   CloseAwareEndPoint(
       SocketChannel channel,
@@ -43,6 +45,15 @@
     this.executor = executor;
   }
 
+  /** Time without a request or a byte of one after which a stopping host closes a connection. */
+  private static final long QUIET_NANOS = 250_000_000L;
+
+  /**
+   * Time for which the caller may go on sending after the end of the last response. If the
+   * connection were closed with unread bytes, its reset could overtake that response.
+   */
+  private static final long LINGER_NANOS = 250_000_000L;
+
   /** Begins a request; returns false if the connection takes no further one. */
   boolean tryBeginRequest() {
     synchronized (lock) {
@@ -50,6 +61,7 @@
         return false;
       }
       requestInProgress = true;
+      quiet = false;
       requestCount++;
       return true;
     }
@@ -62,24 +74,45 @@
     }
   }
 
-  /** Ends the request in progress. Must be called before Jetty reads the next one. */
-  void endRequest() {
+  /**
+   * Ends the request in progress. Must be called before Jetty reads the next one.
+   *
+   * @param last whether the response announced that the connection takes no further request
+   */
+  void endRequest(boolean last) {
     synchronized (lock) {
       requestInProgress = false;
+      quiet = false;
+      closing |= last;
     }
   }
 
   /**
-   * Takes no further request. Without a request in progress the connection is closed at once;
-   * otherwise reads return the end of input after {@link #endRequest}, and Jetty closes it.
+   * Closes a connection without a request in progress in steps, for a host that stops: takes no
+   * further request after {@link #QUIET_NANOS}, and closes {@link #LINGER_NANOS} later if the
+   * caller has not done so. Must be called repeatedly.
    */
-  void closeAfterRequest() {
-    boolean idle;
+  void closeIfQuiet(long nowNanos) {
+    boolean lingering;
     synchronized (lock) {
+      if (requestInProgress) {
+        return;
+      }
+      if (!quiet) {
+        quiet = true;
+        quietSinceNanos = nowNanos;
+        return;
+      }
+      if (nowNanos - quietSinceNanos < (closing ? LINGER_NANOS : QUIET_NANOS)) {
+        return;
+      }
+      lingering = !closing;
       closing = true;
-      idle = !requestInProgress;
+      quietSinceNanos = nowNanos;
     }
-    if (idle) {
+    if (lingering) {
+      shutdownOutput();
+    } else {
       close();
     }
   }
@@ -127,7 +160,7 @@
       if (pendingRead != null) {
         return false;
       }
-      if (unreadBytes != null || isAtEnd()) {
+      if (unreadBytes != null) {
         executor.execute(callback::succeeded);
         return true;
       }
@@ -151,11 +184,13 @@
   @Override
   public int fill(ByteBuffer buffer) throws IOException {
     synchronized (lock) {
-      if (isAtEnd()) {
-        return -1;
+      if (closing && !requestInProgress) {
+        return discard();
       }
       if (unreadBytes == null) {
-        return super.fill(buffer);
+        int count = super.fill(buffer);
+        quiet &= count <= 0;
+        return count;
       }
       int position = BufferUtil.flipToFill(buffer);
       int count = Math.min(buffer.remaining(), unreadBytes.remaining());
@@ -170,9 +205,16 @@
     }
   }
 
-  /** Returns whether nothing more is read because the connection closes; needs the lock. */
-  private boolean isAtEnd() {
-    return closing && !requestInProgress;
+  /** Reads what the caller sends after the last response and drops it; needs the lock. */
+  private int discard() throws IOException {
+    unreadBytes = null;
+    ByteBuffer dropped = BufferUtil.allocate(PEEK_BYTES);
+    int count = super.fill(dropped);
+    while (count > 0) {
+      BufferUtil.clear(dropped);
+      count = super.fill(dropped);
+    }
+    return count;
   }
 
   /**
--- a/server/src/main/java/org/clementinequay/server/gateway/GatewayHandler.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/GatewayHandler.java
@@ -33,11 +33,8 @@
     this.gateway = gateway;
   }
 
-  /**
-   * Closes the connection after each response from now on, also of requests in progress, so that
-   * callers use other hosts.
-   */
-  public void startDraining() {
+  /** Announces the close of the connection in each response from now on. */
+  void startDraining() {
     draining = true;
   }
 
@@ -83,14 +80,9 @@
    */
   private void endRequest(CallerExchange exchange, CloseAwareEndPoint endPoint) {
     openExchanges.remove(exchange);
-    if (endPoint == null) {
-      return;
-    }
-    if (draining) {
-      // The head may have been sent before the stop, without the header that announces the close.
-      endPoint.closeAfterRequest();
+    if (endPoint != null) {
+      endPoint.endRequest(exchange.announcedClose());
     }
-    endPoint.endRequest();
   }
 
   private void onBodyRead(
--- a/server/src/main/java/org/clementinequay/server/gateway/GatewayHost.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/GatewayHost.java
@@ -201,9 +201,8 @@
 
   /**
    * Stops gracefully within the grace period, see {@link StopSchedule}. The readiness check fails
-   * at once while connections are still accepted, except on connections whose response ends
-   * meanwhile: those are closed. Then idle connections are closed as well. Requests that cannot end
-   * in time are refused before they are passed on; the others may end.
+   * at once while connections are still accepted. Requests that cannot end in time are refused
+   * before they are passed on; the others may end.
    */
   @Override
   public void close() throws Exception {
@@ -215,14 +214,12 @@
     handler.startDraining();
     clock.sleep(schedule.acceptance());
     connector.close();
-    long deadline = start + schedule.end().toNanos();
-    while (clock.nanoTime() < deadline) {
-      connector.closeAfterRequests();
-      if (handler.openRequests() == 0) {
-        break;
-      }
+    long end = start + schedule.end().toNanos();
+    do {
+      // A connection that was just accepted is listed a moment later.
       clock.sleep(DRAIN_POLL);
-    }
+      connector.closeQuiet(clock.nanoTime());
+    } while (clock.nanoTime() - end < 0 && !connector.getConnectedEndPoints().isEmpty());
     if (handler.openRequests() > 0) {
       logger.atWarning().log("shutdown aborts %d open requests", handler.openRequests());
     }
