Answer the requests that are open when a stopping host ends

What callers saw: a call that still waited for its upstream at the end of the grace period, or whose body was not complete, ended with a closed connection and no answer.

Cause: the process ended without telling them; only the number was logged.

Change: at the end each open request gets a failure: 503 if it was not passed on, 502 if it may have run; a stream that has begun is broken off as before. The process waits up to 200 ms for these responses to be written.

--- a/server/src/main/java/org/clementinequay/server/gateway/CallerExchange.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/CallerExchange.java
@@ -9,6 +9,7 @@
 import org.eclipse.jetty.http.HttpField;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.util.Callback;
 
@@ -66,6 +67,16 @@
     return announcedClose;
   }
 
+  /** Ends the request because this host ends. */
+  void endForStop() {
+    RequestForwarder running = forwarder;
+    if (running == null) {
+      refuse("", HttpStatus.SERVICE_UNAVAILABLE_503, "this host stops");
+    } else {
+      running.endForStop();
+    }
+  }
+
   /** Logs that the end of the process breaks off this request. */
   void logCut(long stopNanos) {
     RequestForwarder running = forwarder;
--- a/server/src/main/java/org/clementinequay/server/gateway/GatewayHandler.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/GatewayHandler.java
@@ -43,9 +43,12 @@
     return openExchanges.size();
   }
 
-  /** Logs the requests in progress, which the end of the process breaks off. */
-  void logCutRequests(long stopNanos) {
-    openExchanges.forEach(exchange -> exchange.logCut(stopNanos));
+  /** Ends the requests in progress, which the end of the process would break off. */
+  void endRequests(long stopNanos) {
+    for (CallerExchange exchange : openExchanges) {
+      exchange.logCut(stopNanos);
+      exchange.endForStop();
+    }
   }
 
   @Override
--- a/server/src/main/java/org/clementinequay/server/gateway/GatewayHost.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/GatewayHost.java
@@ -29,6 +29,9 @@
 public final class GatewayHost implements AutoCloseable {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
+  /** Time for the last responses of a stopping host to be written. */
+  private static final Duration LAST_RESPONSES = Duration.ofMillis(200);
+
   private static final double MIN_WEIGHT = 0.01;
 
   /**
@@ -202,7 +205,8 @@
   /**
    * Stops gracefully within the grace period, see {@link StopSchedule}. The readiness check fails
    * at once while connections are still accepted. Requests that cannot end in time are refused
-   * before they are passed on; the others may end.
+   * before they are passed on; the others may end. What remains at the end gets a failure, or its
+   * response is broken off.
    */
   @Override
   public void close() throws Exception {
@@ -220,13 +224,22 @@
       clock.sleep(DRAIN_POLL);
       connector.closeQuiet(clock.nanoTime());
     } while (clock.nanoTime() - end < 0 && !connector.getConnectedEndPoints().isEmpty());
-    if (handler.openRequests() > 0) {
-      logger.atWarning().log("shutdown aborts %d open requests", handler.openRequests());
-    }
-    handler.logCutRequests(start);
-    log.record("stopped", "cut", handler.openRequests());
+    endOpenRequests(start);
     tasks.forEach(PeriodicTask::close);
     peers.close();
     log.close();
   }
+
+  private void endOpenRequests(long stopNanos) throws InterruptedException {
+    long open = handler.openRequests();
+    if (open > 0) {
+      logger.atWarning().log("shutdown aborts %d open requests", open);
+      handler.endRequests(stopNanos);
+      long end = clock.nanoTime() + LAST_RESPONSES.toNanos();
+      while (handler.openRequests() > 0 && clock.nanoTime() - end < 0) {
+        clock.sleep(DRAIN_POLL);
+      }
+    }
+    log.record("stopped", "cut", open);
+  }
 }
--- a/server/src/main/java/org/clementinequay/server/gateway/RequestForwarder.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/RequestForwarder.java
@@ -190,6 +190,17 @@
         });
   }
 
+  /** Ends the request because this host ends. */
+  void endForStop() {
+    update(
+        () -> {
+          if (!finished) {
+            mayHaveRun |= current != null;
+            refuseForStop();
+          }
+        });
+  }
+
   /** Ends the request, whose current attempt was not sent, because this host stops. */
   void refuseForStop() {
     abandonCurrent(STOPPING);
--- a/server/src/test/java/org/clementinequay/server/gateway/RequestForwarderStopTest.java
+++ b/server/src/test/java/org/clementinequay/server/gateway/RequestForwarderStopTest.java
@@ -100,9 +100,11 @@
 
   /** Requests that were passed on before the signal. */
   public static class RequestsInProgress extends Host {
+    private RequestForwarder forwarder;
+
     private void startBeforeStop(RequestKind kind, List<String> modelsBySize) {
       fixture.deadlineMillis = 10_000;
-      fixture.start(kind, modelsBySize);
+      forwarder = fixture.start(kind, modelsBySize);
       stop();
       fixture.clock.advance(LATE);
     }
@@ -156,5 +158,25 @@
       assertEquals(fixture.sent.size(), 2);
       assertEquals(fixture.lastAttempt().headers.get("last"), "1");
     }
+
+    // Guards against requests that end without an answer when the host ends.
+    @Test
+    public void getAFailureAtTheEnd() {
+      startBeforeStop(RequestKind.AT_MOST_ONCE, List.of());
+      forwarder.endForStop();
+      assertTrue(fixture.lastAttempt().abandoned);
+      assertEquals(fixture.response.status, 502);
+      assertTrue(fixture.response.complete);
+    }
+
+    @Test
+    public void streamsThatHaveBegunAreBrokenOffAtTheEnd() {
+      startBeforeStop(RequestKind.RESUMABLE_STREAM, List.of());
+      fixture.lastAttempt().sendHead(200);
+      fixture.lastAttempt().sendContent(event(1));
+      forwarder.endForStop();
+      assertTrue(fixture.response.aborted);
+      assertFalse(fixture.response.complete);
+    }
   }
 }
