--- a/server/src/main/java/org/clementinequay/server/caller/CallerHandler.java
+++ b/server/src/main/java/org/clementinequay/server/caller/CallerHandler.java
@@ -77,12 +77,7 @@
     openRequests.incrementAndGet();
     Callback countedCallback = Callback.from(callback, openRequests::decrementAndGet);
     if (draining) {
-      refuse(
-          RequestFailedException.notRun(
-              RefusalReason.SHUTTING_DOWN, "this entry host is shutting down"),
-          id,
-          response,
-          countedCallback);
+      refuse(shuttingDown(), id, response, countedCallback);
       return true;
     }
     if (request.getLength() > MAX_BODY_BYTES) {
@@ -94,6 +89,8 @@
             (body, failure) -> {
               if (failure != null) {
                 refuse(bodyFailure(failure), id, response, countedCallback);
+              } else if (draining) {
+                refuse(shuttingDown(), id, response, countedCallback);
               } else {
                 startPipeline(request, path, body, id, receivedNanos, response, countedCallback);
               }
@@ -117,6 +114,11 @@
     }
   }
 
+  private static RequestFailedException shuttingDown() {
+    return RequestFailedException.notRun(
+        RefusalReason.SHUTTING_DOWN, "this entry host is shutting down");
+  }
+
   private static RequestFailedException bodyFailure(Throwable failure) {
     Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
     return cause instanceof IllegalStateException
