Linger on connections that end with unread bytes of the caller

What callers saw: the end of a long response was lost ("Connection reset") where the caller had used its connection again before it had read the response.

Cause: Jetty closes a connection at once behind a response that announced it. Bytes that are unread then, or that arrive after it, reset the connection, and the reset overtakes what the caller has not received yet.

Change: LingeringCloser closes the output first, reads and drops what arrives, and closes when the caller has, or after 250 ms; in a stop on every connection, else only where bytes are unread, for instance behind a refused upload. A stopping host waits for these connections, within the end of its requests.

CallerHandlerTest waits until the head is handled; without the fix it times out.

--- a/server/src/main/java/org/clementinequay/server/gateway/CloseAwareEndPoint.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/CloseAwareEndPoint.java
@@ -23,6 +23,7 @@
   private static final int PEEK_BYTES = 2048;
 
   private final Executor executor;
+  private final LingeringCloser closer;
   private final Object lock = new Object();
   private final Callback onFillable = Callback.from(() -> onFillable(null), this::onFillable);
   private Callback pendingRead;
@@ -40,18 +41,17 @@
       ManagedSelector selector,
       SelectionKey key,
       Scheduler scheduler,
-      Executor executor) {
+      Executor executor,
+      LingeringCloser closer) {
     super(channel, selector, key, scheduler);
     this.executor = executor;
+    this.closer = closer;
   }
 
   /** Time without a request or a byte of one after which a stopping host closes a connection. */
   private static final long QUIET_NANOS = 250_000_000L;
 
-  /**
-   * Time for which the caller may go on sending after the end of the last response. If the
-   * connection were closed with unread bytes, its reset could overtake that response.
-   */
+  /** Time for which the caller may go on sending after the last response. */
   private static final long LINGER_NANOS = 250_000_000L;
 
   /** Begins a request; returns false if the connection takes no further one. */
@@ -205,6 +205,15 @@
     }
   }
 
+  @Override
+  public void doClose() {
+    boolean alreadyRead;
+    synchronized (lock) {
+      alreadyRead = unreadBytes != null;
+    }
+    closer.close(getChannel(), alreadyRead, getScheduler(), super::doClose);
+  }
+
   /** Reads what the caller sends after the last response and drops it; needs the lock. */
   private int discard() throws IOException {
     unreadBytes = null;
--- a/server/src/main/java/org/clementinequay/server/gateway/GatewayHost.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/GatewayHost.java
@@ -216,6 +216,7 @@
     readinessHandler.startDraining();
     gateway.startStop(new StopAdmission(schedule, start));
     handler.startDraining();
+    connector.startDraining();
     clock.sleep(schedule.acceptance());
     connector.close();
     long end = start + schedule.end().toNanos();
@@ -223,7 +224,7 @@
       // A connection that was just accepted is listed a moment later.
       clock.sleep(DRAIN_POLL);
       connector.closeQuiet(clock.nanoTime());
-    } while (clock.nanoTime() - end < 0 && !connector.getConnectedEndPoints().isEmpty());
+    } while (clock.nanoTime() - end < 0 && connector.hasConnections());
     endOpenRequests(start);
     tasks.forEach(PeriodicTask::close);
     peers.close();
--- /dev/null
+++ b/server/src/main/java/org/clementinequay/server/gateway/LingeringCloser.java
@@ -0,0 +1,101 @@
+package org.clementinequay.server.gateway;
+
+import com.google.common.flogger.FluentLogger;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.SocketChannel;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.eclipse.jetty.util.thread.Scheduler;
+
+/**
+ * Closes connections in two steps: first the output, and the rest once the caller has closed or
+ * {@link #LINGER_MILLIS} have passed. A connection that is closed with unread bytes is reset, and
+ * the reset can overtake the end of the last response; so what the caller sends is read and
+ * dropped.
+ */
+final class LingeringCloser {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+  private static final int LINGER_MILLIS = 250;
+  private static final int POLL_MILLIS = 25;
+  private static final int BUFFER_BYTES = 8 * 1024;
+
+  /** Number of buffers that are read at a time, so that no caller keeps a thread busy. */
+  private static final int MAX_BUFFERS = 16;
+
+  private final AtomicInteger pending = new AtomicInteger();
+  private volatile boolean lingersAlways;
+
+  /**
+   * Also lingers where no bytes are unread yet, from now on: the caller of a host that stops may be
+   * about to use its connection again.
+   */
+  void lingerAlways() {
+    lingersAlways = true;
+  }
+
+  /** Returns the number of connections that are not closed yet. */
+  int pending() {
+    return pending.get();
+  }
+
+  /**
+   * Closes a connection, now or later.
+   *
+   * @param alreadyRead whether bytes of the caller were read that belong to no answered request
+   * @param close closes the channel
+   */
+  void close(SocketChannel channel, boolean alreadyRead, Scheduler scheduler, Runnable close) {
+    Input input = drop(channel);
+    if (input == Input.ENDED || (input == Input.EMPTY && !alreadyRead && !lingersAlways)) {
+      close.run();
+      return;
+    }
+    try {
+      channel.shutdownOutput();
+    } catch (IOException e) {
+      logger.atFine().withCause(e).log("the caller has reset the connection");
+      close.run();
+      return;
+    }
+    pending.incrementAndGet();
+    poll(channel, LINGER_MILLIS / POLL_MILLIS, scheduler, close);
+  }
+
+  private void poll(SocketChannel channel, int polls, Scheduler scheduler, Runnable close) {
+    scheduler.schedule(
+        () -> {
+          if (polls > 0 && drop(channel) != Input.ENDED) {
+            poll(channel, polls - 1, scheduler, close);
+            return;
+          }
+          close.run();
+          pending.decrementAndGet();
+        },
+        POLL_MILLIS,
+        TimeUnit.MILLISECONDS);
+  }
+
+  private enum Input {
+    EMPTY,
+    DROPPED,
+    ENDED
+  }
+
+  /** Reads and drops what has arrived. */
+  private static Input drop(SocketChannel channel) {
+    ByteBuffer buffer = ByteBuffer.allocate(BUFFER_BYTES);
+    try {
+      int count = channel.read(buffer);
+      Input input = count > 0 ? Input.DROPPED : Input.EMPTY;
+      for (int i = 1; count > 0 && i < MAX_BUFFERS; i++) {
+        count = channel.read(buffer.clear());
+      }
+      return count < 0 ? Input.ENDED : input;
+    } catch (IOException e) {
+      logger.atFine().withCause(e).log("the caller has reset the connection");
+      return Input.ENDED;
+    }
+  }
+}
--- a/server/src/test/java/org/clementinequay/server/caller/CallerHandlerTest.java
+++ b/server/src/test/java/org/clementinequay/server/caller/CallerHandlerTest.java
@@ -24,6 +24,7 @@
 /** Tests the HTTP interface of callers. */
 public class CallerHandlerTest {
   private static final int MAX_WAIT_MILLIS = 20_000;
+  private static final int HEAD_MILLIS = 200;
 
   /** A host that drains while a caller sends its request. */
   public static class Draining {
@@ -68,6 +69,8 @@
       while (handler.openRequests() == 0 && System.nanoTime() - deadline < 0) {
         TimeUnit.MILLISECONDS.sleep(1);
       }
+      // The request counts as open a moment before the handler checks for a shutdown.
+      TimeUnit.MILLISECONDS.sleep(HEAD_MILLIS);
       handler.drain();
       send("0\r\n\r\n");
       String answer = new String(caller.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
