--- a/server/src/main/java/org/clementinequay/server/gateway/GatewayAttempt.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/GatewayAttempt.java
@@ -30,6 +30,7 @@
   /** Confidence of a response that states none. */
   private static final int DEFAULT_CONFIDENCE = 100;
 
+  private static final int OK = 200;
   private static final int SERVER_ERROR = 500;
 
   /**
@@ -52,6 +53,10 @@
   private final ByteArrayOutputStream bufferedBody = new ByteArrayOutputStream();
   UpstreamTransport.Call call;
   private ResponseHead head;
+
+  /** Whether the body is relayed event by event. */
+  private boolean relaying;
+
   private long firstEventNanos;
   private long firstEventId;
   private boolean released;
@@ -99,7 +104,7 @@
   void release() {
     if (!released) {
       released = true;
-      if (isRelaying()) {
+      if (relaying) {
         recordTokenTime();
       }
       gateway.engineSelector.recordEnd(instance.id(), choice.workMillis());
@@ -110,8 +115,10 @@
     return !forwarder.finished && forwarder.current == this;
   }
 
-  private boolean isRelaying() {
-    return head != null && head.success() && forwarder.route.kind().streaming();
+  /** Returns whether a response is a stream of events; a stream that has begun takes only 200. */
+  private boolean isStream(ResponseHead response) {
+    return forwarder.route.kind().streaming()
+        && (forwarder.committed ? response.status() == OK : response.success());
   }
 
   /**
@@ -145,13 +152,14 @@
       return;
     }
     head = response;
+    relaying = isStream(response);
     if (isUnidentifiedRefusal()) {
       forwarder.mayHaveRun = true;
       forwarder.abortCall(this, "refusal without the id of the request");
       attemptRejected();
       return;
     }
-    if (isRelaying() && !forwarder.committed && forwarder.placement.hasLargerModel()) {
+    if (relaying && !forwarder.committed && forwarder.placement.hasLargerModel()) {
       escalate();
     }
   }
@@ -258,7 +266,7 @@
       forwarder.openCalls.add(next::succeeded);
       return;
     }
-    if (!isRelaying()) {
+    if (!relaying) {
       bufferBody(bytes, next);
       return;
     }
@@ -346,7 +354,7 @@
     }
     if (head == null) {
       attemptFailed("the connection ended before the response head", true);
-    } else if (isRelaying()) {
+    } else if (relaying) {
       streamEnded();
     } else {
       responseEnded();
