--- a/server/src/main/java/org/clementinequay/server/gateway/GatewayAttempt.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/GatewayAttempt.java
@@ -11,6 +11,7 @@
 import org.clementinequay.server.upstream.UpstreamListener;
 import org.clementinequay.server.upstream.UpstreamTransport;
 import org.eclipse.jetty.http.HttpFields;
+import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.util.Callback;
 
 /**
@@ -57,6 +58,9 @@
   /** Whether the body is relayed event by event. */
   private boolean relaying;
 
+  /** Whether the body has a length or chunks, so that its end is not that of the connection. */
+  private boolean framed;
+
   private long firstEventNanos;
   private long firstEventId;
   private boolean released;
@@ -153,6 +157,9 @@
     }
     head = response;
     relaying = isStream(response);
+    framed =
+        headers.contains(HttpHeader.CONTENT_LENGTH)
+            || headers.contains(HttpHeader.TRANSFER_ENCODING);
     if (isUnidentifiedRefusal()) {
       forwarder.mayHaveRun = true;
       forwarder.abortCall(this, "refusal without the id of the request");
@@ -366,6 +373,11 @@
       attemptFailed("the stream ended inside an event", true);
       return;
     }
+    if (firstEventId == 0 && !framed) {
+      // An upstream that stops behind the head of its answer looks the same.
+      attemptFailed("the connection ended before the first event", true);
+      return;
+    }
     attemptSucceeded();
     forwarder.finish(head.status(), "none");
     forwarder.log(
--- a/server/src/test/java/org/clementinequay/server/gateway/StreamEndTest.java
+++ b/server/src/test/java/org/clementinequay/server/gateway/StreamEndTest.java
@@ -84,6 +84,16 @@
       assertTrue(fixture.response.aborted);
     }
 
+    // Guards against a stream that ends as complete between two events because an upstream stopped
+    // behind the head of an answer without a length.
+    @Test
+    public void emptyAnswerThatEndsWithItsConnectionDoesNotEndAStream() {
+      breakOffAfterFirstEvent();
+      fixture.lastAttempt().respond(200, GatewayFixture.ownRequestId(), "");
+      assertFalse(fixture.response.complete);
+      assertEquals(fixture.sent.size(), 3);
+    }
+
     @DataProvider
     public Object[][] statedEnds() {
       return new Object[][] {
