--- a/server/src/main/java/org/clementinequay/server/gateway/JettyFactory.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/JettyFactory.java
@@ -94,6 +94,7 @@
     client.setUserAgentField(null);
     // Response bodies are forwarded as the upstreams encoded them.
     client.getContentDecoderFactories().clear();
+    client.getProtocolHandlers().put(new InformationalHandler());
     return client;
   }
 }
