--- a/server/src/main/java/org/clementinequay/server/gateway/GatewayAttempt.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/GatewayAttempt.java
@@ -369,13 +369,12 @@
   }
 
   private void streamEnded() {
-    if (forwarder.events.hasPartialEvent() || !forwarder.committed) {
+    if (forwarder.events.hasPartialEvent()) {
       attemptFailed("the stream ended inside an event", true);
       return;
     }
-    if (firstEventId == 0 && !framed) {
-      // An upstream that stops behind the head of its answer looks the same.
-      attemptFailed("the connection ended before the first event", true);
+    if (firstEventId == 0 && !statesThatNothingIsLeft()) {
+      attemptFailed("the stream ended before its first event", true);
       return;
     }
     attemptSucceeded();
@@ -388,7 +387,19 @@
         forwarder.events.lastId(),
         "ms",
         forwarder.elapsedMillis());
-    forwarder.openCalls.addInOrder(forwarder.response::end);
+    if (forwarder.committed) {
+      forwarder.openCalls.addInOrder(forwarder.response::end);
+    } else {
+      forwarder.sendComplete(head.status(), head.returned(), bufferedBody.toByteArray());
+    }
+  }
+
+  /**
+   * Returns whether an answer without an event ends a stream of which the caller has events. One
+   * that ends with its connection does not: an upstream that stops behind the head looks the same.
+   */
+  private boolean statesThatNothingIsLeft() {
+    return framed && head.status() == OK && forwarder.events.lastId() > 0;
   }
 
   private void responseEnded() {
--- a/server/src/test/java/org/clementinequay/server/gateway/GatewayFixture.java
+++ b/server/src/test/java/org/clementinequay/server/gateway/GatewayFixture.java
@@ -41,6 +41,7 @@
   final Gateway gateway;
   List<PromptPart> promptParts = List.of();
   long deadlineMillis = 5000;
+  OptionalLong lastEventId = OptionalLong.empty();
   boolean finishedCallbackRun;
 
   GatewayFixture() {
@@ -126,7 +127,7 @@
             "/x/",
             Optional.empty(),
             OptionalLong.of(deadlineMillis),
-            OptionalLong.empty(),
+            lastEventId,
             Optional.empty(),
             10,
             10,
--- a/server/src/test/java/org/clementinequay/server/gateway/StreamEndTest.java
+++ b/server/src/test/java/org/clementinequay/server/gateway/StreamEndTest.java
@@ -5,6 +5,7 @@
 import static org.testng.Assert.assertTrue;
 
 import java.util.List;
+import java.util.OptionalLong;
 import org.clementinequay.core.forward.RequestKind;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpHeader;
@@ -142,5 +143,26 @@
       assertEquals(fixture.sent.size(), 1);
       assertEquals(fixture.response.status, 502);
     }
+
+    // Guards against a failure for a caller that resumes a stream behind its last event: the
+    // upstream states that nothing is left.
+    @Test
+    public void callerThatHasAllEventsGetsTheEmptyAnswer() {
+      fixture.lastEventId = OptionalLong.of(7);
+      fixture.start(RequestKind.STREAM, CALLER_NAMES_MODEL);
+      assertEquals(fixture.lastAttempt().headers.get("last"), "7");
+      fixture.lastAttempt().respond(200, framed(HttpHeader.CONTENT_LENGTH, "0"), "");
+      assertEquals(fixture.response.status, 200);
+      assertEquals(fixture.response.body.toString(), "");
+      assertTrue(fixture.response.complete);
+    }
+
+    @Test
+    public void callerThatResumesGetsNoEmptyAnswerWithoutAStatedEnd() {
+      fixture.lastEventId = OptionalLong.of(7);
+      fixture.start(RequestKind.STREAM, CALLER_NAMES_MODEL);
+      fixture.lastAttempt().respond(200, GatewayFixture.ownRequestId(), "");
+      assertEquals(fixture.response.status, 502);
+    }
   }
 }
