Fail successes with a Content-Encoding

Callers would see: a success whose body is encoded, although callers request bodies without any encoding; by the protocol this is not the server's body (MIXED).

Cause: the header was passed on with the body, like any other one.

Evidence: RequestForwarderTest.encodedSuccessBecomesBadGateway, red before (200), green after. On this commit 99 tests of the forwarder, StreamEndTest, SilentUpstreamTest and CrashGuardTest are green, and 48 of the host: CutAnswersTest, BrokenStreamsTest, UnframedStreams, Requests and CrashingPromptPartTest.

Why it works: such an answer is handled like one without the authentication code: the attempt has failed, and a call that may be repeated goes elsewhere.

Ruled out: this host asks for no encoding by itself (the decoders of the client are cleared). Failures with the header are passed on unchanged.

--- a/server/src/main/java/org/clementinequay/server/gateway/GatewayAttempt.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/GatewayAttempt.java
@@ -155,6 +155,10 @@
       abandonAndFail("response to another request, or without authentication code");
       return;
     }
+    if (response.success() && headers.contains(HttpHeader.CONTENT_ENCODING)) {
+      abandonAndFail("encoded response, which no caller requests");
+      return;
+    }
     head = response;
     relaying = isStream(response);
     framed =
--- a/server/src/test/java/org/clementinequay/server/gateway/RequestForwarderTest.java
+++ b/server/src/test/java/org/clementinequay/server/gateway/RequestForwarderTest.java
@@ -125,6 +125,20 @@
       assertEquals(fixture.response.body.toString(), "ok");
     }
 
+    // Guards against a success whose body is not the one that callers request.
+    @Test
+    public void encodedSuccessBecomesBadGateway() {
+      fixture
+          .lastAttempt()
+          .respond(
+              200,
+              HttpFields.build(GatewayFixture.ownRequestId())
+                  .put(HttpHeader.CONTENT_ENCODING, "gzip"),
+              "encoded");
+      assertEquals(fixture.sent.size(), 1);
+      assertEquals(fixture.response.status, 502);
+    }
+
     @Test
     public void unavailableWithoutNotRunStatementBecomesBadGateway() {
       fixture.lastAttempt().respond(503, GatewayFixture.ownRequestId(), "");
