--- a/server/src/main/java/org/clementinequay/server/gateway/GatewayAttempt.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/GatewayAttempt.java
@@ -11,6 +11,7 @@
 import org.clementinequay.server.upstream.UpstreamListener;
 import org.clementinequay.server.upstream.UpstreamTransport;
 import org.eclipse.jetty.http.HttpFields;
+import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.util.Callback;
 
 /**
@@ -30,6 +31,7 @@
   /** Confidence of a response that states none. */
   private static final int DEFAULT_CONFIDENCE = 100;
 
+  private static final int OK = 200;
   private static final int SERVER_ERROR = 500;
 
   /**
@@ -52,6 +54,13 @@
   private final ByteArrayOutputStream bufferedBody = new ByteArrayOutputStream();
   UpstreamTransport.Call call;
   private ResponseHead head;
+
+  /** Whether the body is relayed event by event. */
+  private boolean relaying;
+
+  /** Whether the body has a length or chunks, so that its end is not that of the connection. */
+  private boolean framed;
+
   private long firstEventNanos;
   private long firstEventId;
   private boolean released;
@@ -103,7 +112,7 @@
   void release() {
     if (!released) {
       released = true;
-      if (isRelaying()) {
+      if (relaying) {
         recordTokenTime();
       }
       gateway.engineSelector.recordEnd(instance.id(), choice.workMillis());
@@ -114,8 +123,10 @@
     return !forwarder.finished && forwarder.current == this;
   }
 
-  private boolean isRelaying() {
-    return head != null && head.success() && forwarder.route.kind().streaming();
+  /** Returns whether a response is a stream of events; a stream that has begun takes only 200. */
+  private boolean isStream(ResponseHead response) {
+    return forwarder.route.kind().streaming()
+        && (forwarder.committed ? response.status() == OK : response.success());
   }
 
   /**
@@ -152,14 +163,22 @@
       abandonAndFail("response to another request, or without authentication code");
       return;
     }
+    if (response.success() && headers.contains(HttpHeader.CONTENT_ENCODING)) {
+      abandonAndFail("encoded response, which no caller requests");
+      return;
+    }
     head = response;
+    relaying = isStream(response);
+    framed =
+        headers.contains(HttpHeader.CONTENT_LENGTH)
+            || headers.contains(HttpHeader.TRANSFER_ENCODING);
     if (isUnidentifiedRefusal()) {
       forwarder.mayHaveRun = true;
       forwarder.abortCall(this, "refusal without the id of the request");
       attemptRejected();
       return;
     }
-    if (isRelaying() && !forwarder.committed && forwarder.placement.hasLargerModel()) {
+    if (relaying && !forwarder.committed && forwarder.placement.hasLargerModel()) {
       escalate();
     }
   }
@@ -266,7 +285,7 @@
       forwarder.openCalls.add(next::succeeded);
       return;
     }
-    if (!isRelaying()) {
+    if (!relaying) {
       bufferBody(bytes, next);
       return;
     }
@@ -354,7 +373,7 @@
     }
     if (head == null) {
       attemptFailed("the connection ended before the response head", true);
-    } else if (isRelaying()) {
+    } else if (relaying) {
       streamEnded();
     } else {
       responseEnded();
@@ -362,10 +381,14 @@
   }
 
   private void streamEnded() {
-    if (forwarder.events.hasPartialEvent() || !forwarder.committed) {
+    if (forwarder.events.hasPartialEvent()) {
       attemptFailed("the stream ended inside an event", true);
       return;
     }
+    if (firstEventId == 0 && !statesThatNothingIsLeft()) {
+      attemptFailed("the stream ended before its first event", true);
+      return;
+    }
     attemptSucceeded();
     forwarder.finishComplete(head);
     forwarder.log(
@@ -376,7 +399,19 @@
         forwarder.events.lastId(),
         "ms",
         forwarder.elapsedMillis());
-    forwarder.openCalls.addInOrder(forwarder.response::end);
+    if (forwarder.committed) {
+      forwarder.openCalls.addInOrder(forwarder.response::end);
+    } else {
+      forwarder.sendComplete(head.status(), head.returned(), bufferedBody.toByteArray());
+    }
+  }
+
+  /**
+   * Returns whether an answer without an event ends a stream of which the caller has events. One
+   * that ends with its connection does not: an upstream that stops behind the head looks the same.
+   */
+  private boolean statesThatNothingIsLeft() {
+    return framed && head.status() == OK && forwarder.events.lastId() > 0;
   }
 
   private void responseEnded() {
