Bound what an upstream sends besides content

With 30 upstreams in trouble a stream of another caller took 3,161 ms with a deadline of 2,000 ms.

Cause: Jetty's HTTP client bounds one head (16 KiB), but not the number of informational heads, nor chunk extensions. For each informational answer it queues tasks in the invoker of the connection, behind the task that parses; these tasks read again, so that the queue grows while bytes are there, and the abort of the call waits at its end.

Change: BoundedHttpTransport creates connections that count the bytes between the read and the parser. More than 64 KiB without a final head or content close the connection and fail the exchange, as a normal failed attempt that was offered. The connection is closed at once and not by the failure: the reads queued for informational answers would each have read one more buffer.

Ruled out: a bound in the listeners of the call, because they run in the same invoker, behind the parser; a bound in ResetAwareEndPoint, which cannot see whether bytes were content without a parser of its own, and which the client of the store does not use.

--- a/server/src/main/java/org/clementinequay/server/gateway/JettyFactory.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/JettyFactory.java
@@ -1,8 +1,8 @@
 package org.clementinequay.server.gateway;
 
 import com.google.common.net.HostAndPort;
+import org.clementinequay.server.upstream.BoundedHttpTransport;
 import org.eclipse.jetty.client.HttpClient;
-import org.eclipse.jetty.client.transport.HttpClientTransportOverHTTP;
 import org.eclipse.jetty.http.HttpCompliance;
 import org.eclipse.jetty.http.UriCompliance;
 import org.eclipse.jetty.io.ClientConnector;
@@ -85,7 +85,7 @@
     QueuedThreadPool threads = new QueuedThreadPool(CLIENT_THREADS, 3);
     threads.setName(name);
     connector.setExecutor(threads);
-    HttpClient client = new HttpClient(new HttpClientTransportOverHTTP(connector));
+    HttpClient client = new HttpClient(new BoundedHttpTransport(connector));
     client.setConnectTimeout(CONNECT_MILLIS);
     client.setIdleTimeout(UPSTREAM_IDLE_MILLIS);
     client.setMaxConnectionsPerDestination(MAX_CONNECTIONS_PER_UPSTREAM);
