Close connections at the first byte that belongs to no request

What callers saw: nothing; a host read one connection of an upstream for 2 GiB behind a whole answer, as long as the upstream sent.

Cause: on a connection without a request Jetty parses what comes as an unsolicited response, drops its content, and closes only at its end. What arrives in one read with the end of a response is dropped, and the connection kept, so that the rest would be parsed later.

Change: the receiver knows whether a request was sent whose response is not complete. Bytes that are read at other times close the connection before they are parsed. Bytes in the read that completes a response let it succeed, and the connection is closed instead of released to the pool.

RepeatedRefusalIntegrationTest, GatewayIntegrationTest and BrokenStreamsTest: green (55 tests). A late answer that arrives with the next request is still recognised by its id.

Ruled out: failing the response that the surplus follows; it is whole, and an unsafe request would be answered 502 although it was served.

--- a/server/src/main/java/org/clementinequay/server/upstream/BoundedHttpConnection.java
+++ b/server/src/main/java/org/clementinequay/server/upstream/BoundedHttpConnection.java
@@ -1,6 +1,7 @@
 package org.clementinequay.server.upstream;
 
 import java.util.Map;
+import org.eclipse.jetty.client.transport.HttpExchange;
 import org.eclipse.jetty.client.transport.internal.HttpChannelOverHTTP;
 import org.eclipse.jetty.client.transport.internal.HttpConnectionOverHTTP;
 import org.eclipse.jetty.client.transport.internal.HttpReceiverOverHTTP;
@@ -37,5 +38,21 @@
     protected BoundedHttpReceiver getHttpReceiver() {
       return (BoundedHttpReceiver) super.getHttpReceiver();
     }
+
+    @Override
+    public void send(HttpExchange exchange) {
+      getHttpReceiver().expectResponse();
+      super.send(exchange);
+    }
+
+    /** Keeps the connection unless bytes followed the response. */
+    @Override
+    public void release() {
+      if (getHttpReceiver().hasSurplus()) {
+        getHttpConnection().close();
+      } else {
+        super.release();
+      }
+    }
   }
 }
--- a/server/src/main/java/org/clementinequay/server/upstream/BoundedHttpReceiver.java
+++ b/server/src/main/java/org/clementinequay/server/upstream/BoundedHttpReceiver.java
@@ -6,11 +6,15 @@
 import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.http.HttpVersion;
 
-/** Receiver that fails on too many bytes that are no content. */
+/** Receiver that fails on bytes without a request and on too many bytes that are no content. */
 final class BoundedHttpReceiver extends HttpReceiverOverHTTP {
   /** Bytes read between two parts of the content: heads, chunk extensions and trailers. */
   private static final int MAX_BYTES_WITHOUT_CONTENT = 64 * 1024;
 
+  /** Whether a request was sent whose response is not complete. */
+  private volatile boolean responseExpected;
+
+  private volatile boolean surplus;
   private boolean informational;
   private long bytesWithoutContent;
 
@@ -18,12 +22,26 @@
     super(channel);
   }
 
+  void expectResponse() {
+    responseExpected = true;
+  }
+
+  /** Returns whether bytes arrived together with the response that do not belong to it. */
+  boolean hasSurplus() {
+    return surplus;
+  }
+
   /**
    * Records that bytes were read that have not been parsed.
    *
    * @throws UnexpectedBytesException if the connection was closed instead of parsing them
    */
   void recordRead(long count) {
+    if (!responseExpected) {
+      UnexpectedBytesException failure = new UnexpectedBytesException("bytes without a request");
+      getHttpChannel().getHttpConnection().close();
+      throw failure;
+    }
     bytesWithoutContent += count;
     if (bytesWithoutContent > MAX_BYTES_WITHOUT_CONTENT) {
       UnexpectedBytesException failure =
@@ -57,6 +75,8 @@
   @Override
   public boolean messageComplete() {
     if (!informational) {
+      responseExpected = false;
+      surplus = getResponseBuffer().hasRemaining();
       bytesWithoutContent = 0;
     }
     return super.messageComplete();
--- a/server/src/main/java/org/clementinequay/server/upstream/BoundedHttpTransport.java
+++ b/server/src/main/java/org/clementinequay/server/upstream/BoundedHttpTransport.java
@@ -11,7 +11,7 @@
 /**
  * HTTP/1.1 transport that bounds the bytes of a response that are not content. Jetty 12.1.13 bounds
  * a single head, but neither the number of informational responses, for each of which it queues
- * tasks, nor chunk extensions.
+ * tasks, nor chunk extensions, nor what follows a complete response.
  */
 public final class BoundedHttpTransport extends HttpClientTransportOverHTTP {
   private final ClientConnectionFactory connections = new Connections();
--- a/server/src/main/java/org/clementinequay/server/upstream/UnexpectedBytesException.java
+++ b/server/src/main/java/org/clementinequay/server/upstream/UnexpectedBytesException.java
@@ -1,6 +1,6 @@
 package org.clementinequay.server.upstream;
 
-/** Thrown when an upstream sent too many bytes without content. */
+/** Thrown when an upstream sent bytes that belong to no response, or too many without content. */
 final class UnexpectedBytesException extends RuntimeException {
   private static final long serialVersionUID = 1L;
 
