Let a host be closed before or while it starts

What callers saw: nothing yet, because Main took signals only after the start. Once signals come earlier, a host that was closed before it listened would have opened its listeners afterwards, and the end of the process would have broken off its requests.

Cause: GatewayHost.close did not know whether the listeners were open, and start did not know of a close.

Change: the listeners are opened under a lock, unless a close came before; a close waits for a start that is opening them, and returns at once if they are not open.

Ruled out: one lock around the whole start, which would open the listeners of a host that was told to stop.

--- a/server/src/main/java/org/clementinequay/server/gateway/GatewayHost.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/GatewayHost.java
@@ -65,6 +65,12 @@
   private final TcpPeerNetwork peers;
   private final List<PeriodicTask> tasks = new ArrayList<>();
 
+  /** Held while the HTTP listeners are opened, and while a stop finds out whether they are. */
+  private final Object listenLock = new Object();
+
+  private boolean listening;
+  private boolean stopping;
+
   /**
    * Creates the parts and binds the listener for peers; {@link #start} starts them.
    *
@@ -192,14 +198,24 @@
     tasks.add(new PeriodicTask(name, clock, step));
   }
 
-  /** Starts the HTTP clients, the peer network, the periodic tasks and then the HTTP listeners. */
+  /**
+   * Starts the HTTP clients, the peer network, the periodic tasks and then the HTTP listeners. If
+   * {@link #close} is called first or meanwhile, the listeners stay closed, or their start is
+   * completed before the stop begins.
+   */
   public void start() throws Exception {
     client.start();
     singleUseClient.start();
     peers.start();
     tasks.forEach(PeriodicTask::start);
-    server.start();
-    readyServer.start();
+    synchronized (listenLock) {
+      if (stopping) {
+        return;
+      }
+      server.start();
+      readyServer.start();
+      listening = true;
+    }
     log.record("started", "domain", settings.domain(), "callers", settings.callers());
   }
 
@@ -207,10 +223,18 @@
    * Stops gracefully. The readiness check fails at once while connections are still accepted for
    * {@link #ACCEPT_AFTER_STOP}, except on connections whose response ends meanwhile: those are
    * closed. Then idle connections are closed as well, and open requests may finish until {@link
-   * #STOP_MARGIN} before the end of the grace period.
+   * #STOP_MARGIN} before the end of the grace period. A host that does not listen yet stops at
+   * once.
    */
   @Override
   public void close() throws Exception {
+    if (!beginStop()) {
+      log.record("stopped_before_start");
+      tasks.forEach(PeriodicTask::close);
+      peers.close();
+      log.close();
+      return;
+    }
     log.record("stopping", "open", handler.openRequests());
     long start = clock.nanoTime();
     readinessHandler.startDraining();
@@ -234,4 +258,12 @@
     peers.close();
     log.close();
   }
+
+  /** Returns whether there are HTTP listeners to stop; none is opened from now on. */
+  private boolean beginStop() {
+    synchronized (listenLock) {
+      stopping = true;
+      return listening;
+    }
+  }
 }
