--- a/server/src/main/java/org/clementinequay/server/gateway/JettyUpstreamSender.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/JettyUpstreamSender.java
@@ -28,11 +28,9 @@
   public UpstreamTransport.Call newCall(OutboundRequest outbound, UpstreamListener listener) {
     HostAndPort upstream = HostAndPort.fromString(outbound.address());
     Request request =
-        (outbound.newConnection() ? singleUseClient : client)
-            .newRequest(upstream.getHost(), upstream.getPort())
-            .scheme("http")
+        new VerbatimRequest(
+                outbound.newConnection() ? singleUseClient : client, upstream, outbound.pathQuery())
             .method(outbound.method())
-            .path(outbound.pathQuery())
             .idleTimeout(Math.max(1, outbound.idleTimeoutMillis()), TimeUnit.MILLISECONDS)
             .headers(
                 fields -> {
--- a/server/src/main/java/org/clementinequay/server/gateway/MalformedRequestException.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/MalformedRequestException.java
@@ -2,7 +2,7 @@
 
 import org.clementinequay.core.RouterException;
 
-/** A header of a caller's request cannot be parsed; the message is sent to the caller. */
+/** The head of a caller's request cannot be accepted; the message is sent to the caller. */
 public final class MalformedRequestException extends RouterException {
   private static final long serialVersionUID = 1L;
 
