--- a/server/src/main/java/org/clementinequay/server/gateway/JettyUpstreamSender.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/JettyUpstreamSender.java
@@ -29,8 +29,10 @@
     HostAndPort upstream = HostAndPort.fromString(outbound.address());
     Request request =
         new VerbatimRequest(
-                outbound.newConnection() ? singleUseClient : client, upstream, outbound.pathQuery())
-            .method(outbound.method())
+                outbound.newConnection() ? singleUseClient : client,
+                upstream,
+                outbound.method(),
+                outbound.pathQuery())
             .idleTimeout(Math.max(1, outbound.idleTimeoutMillis()), TimeUnit.MILLISECONDS)
             .headers(
                 fields -> {
