Carry heads of requests up to the configured limit

What callers saw: a request with 8,192 bytes of headers or more always got 502, although maxHeaderBytes is 16,384. Where the operator set another limit it had no effect: heads up to 16,384 bytes were taken, and longer ones got 431.

Cause: JettyFactory.newClient left the HTTP client's limit for request headers at its default of 8,192 bytes; the limit of the listener was a constant, and nothing read maxHeaderBytes.

Change: listener and client take heads of up to 65,536 bytes, the client 4,096 more for what an attempt adds. GatewayHandler refuses with 431 what is above the limit of the configuration in force, also on connections that were opened before it changed.

Evidence: RequestHeadTest.Sizes, heads of exactly the limit and one byte more, with limits of 16,384, 1,000 and 40,000: 5 of 12 cases failed before (8,192, 10,000 and 16,384 bytes 502; 40,000 of 40,000 bytes 431; 1,001 of 1,000 bytes 200), all pass.

Ruled out: to change the limit of the listener with the configuration, which would not reach the parsers of open connections.

--- a/server/src/main/java/org/clementinequay/server/gateway/GatewayHandler.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/GatewayHandler.java
@@ -23,6 +23,7 @@
 public final class GatewayHandler extends Handler.Abstract {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
+  private static final int DEFAULT_MAX_HEAD_BYTES = 16 << 10;
   private static final int DEFAULT_MAX_BODY_BYTES = 4 << 20;
 
   private final Gateway gateway;
@@ -107,7 +108,12 @@
       return;
     }
     String id = parsed.id().orElse("");
-    if (failure == null) {
+    if (RequestHeadSize.bytes(request) > maxHeadBytes()) {
+      exchange.refuse(
+          id,
+          HttpStatus.REQUEST_HEADER_FIELDS_TOO_LARGE_431,
+          "the head of the request is too long");
+    } else if (failure == null) {
       exchange.bodyRead();
       forward(parsed, body, exchange, endPoint);
     } else if (failure instanceof IllegalStateException
@@ -119,6 +125,13 @@
     }
   }
 
+  private int maxHeadBytes() {
+    return gateway
+        .configuration()
+        .map(c -> c.limits().maxHeaderBytes())
+        .orElse(DEFAULT_MAX_HEAD_BYTES);
+  }
+
   private static CloseAwareEndPoint closeAwareEndPoint(Request request) {
     EndPoint endPoint = request.getConnectionMetaData().getConnection().getEndPoint();
     return endPoint instanceof CloseAwareEndPoint closeAware ? closeAware : null;
--- a/server/src/main/java/org/clementinequay/server/gateway/JettyFactory.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/JettyFactory.java
@@ -15,7 +15,13 @@
 
 /** Creates Jetty servers and clients with few threads, for hosts with a fraction of a core. */
 final class JettyFactory {
-  private static final int MAX_HEADER_BYTES = 16 * 1024;
+  /** Largest head of a request in bytes; the configuration may allow less. */
+  private static final int MAX_REQUEST_HEAD_BYTES = 64 * 1024;
+
+  /** Room for the headers that an attempt has in addition to those of the caller, in bytes. */
+  private static final int ADDED_HEADER_BYTES = 4 * 1024;
+
+  private static final int MAX_RESPONSE_HEAD_BYTES = 16 * 1024;
   private static final int SERVER_THREADS = 12;
   private static final int CLIENT_THREADS = 10;
   private static final int ACCEPT_QUEUE = 512;
@@ -50,7 +56,7 @@
     HttpConfiguration http = new HttpConfiguration();
     http.setSendServerVersion(false);
     http.setSendDateHeader(false);
-    http.setRequestHeaderSize(MAX_HEADER_BYTES);
+    http.setRequestHeaderSize(MAX_REQUEST_HEAD_BYTES);
     // Paths are forwarded unchanged; this host only compares them with the prefixes of routes.
     http.setUriCompliance(UriCompliance.UNSAFE);
     http.setHttpCompliance(HttpCompliance.RFC7230);
@@ -89,7 +95,8 @@
     client.setConnectTimeout(CONNECT_MILLIS);
     client.setIdleTimeout(UPSTREAM_IDLE_MILLIS);
     client.setMaxConnectionsPerDestination(MAX_CONNECTIONS_PER_UPSTREAM);
-    client.setMaxResponseHeadersSize(MAX_HEADER_BYTES);
+    client.setMaxRequestHeadersSize(MAX_REQUEST_HEAD_BYTES + ADDED_HEADER_BYTES);
+    client.setMaxResponseHeadersSize(MAX_RESPONSE_HEAD_BYTES);
     client.setFollowRedirects(false);
     client.setUserAgentField(null);
     // Response bodies are forwarded as the upstreams encoded them.
