Refuse CONNECT and TRACE at once

What callers saw: a CONNECT request was never answered to its end. With its target without a port it was even forwarded and answered with 200, and the connection stayed open as if it were a tunnel; TRACE was forwarded too.

Cause: nothing looked at the method, and Jetty keeps the connection of a CONNECT request open whatever the status of the answer, also of its own error responses.

Change: GatewayHandler refuses both methods with 400 before it reads a body; ConnectErrorHandler closes the connection behind Jetty's own errors (a target that differs from the header Host).

Evidence: RequestHeadTest.Methods, CONNECT and TRACE: 3 of 5 cases failed before (two without the end of an answer in 10 s, one forwarded with 200).

Ruled out: 405, which needs a header Allow and is not among the statuses after which the platform's clients do not repeat a request.

--- a/server/src/main/java/org/clementinequay/server/gateway/GatewayHandler.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/GatewayHandler.java
@@ -8,6 +8,7 @@
 import org.clementinequay.core.forward.AccountKeys;
 import org.clementinequay.core.forward.ForwardingConfiguration;
 import org.clementinequay.core.forward.Route;
+import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.io.Content;
 import org.eclipse.jetty.io.EndPoint;
@@ -26,6 +27,9 @@
   private static final int DEFAULT_MAX_HEAD_BYTES = 16 << 10;
   private static final int DEFAULT_MAX_BODY_BYTES = 4 << 20;
 
+  /** Methods that are not for the upstreams of a route. */
+  private static final Set<String> REFUSED_METHODS = Set.of("CONNECT", "TRACE");
+
   private final Gateway gateway;
   private final Set<CallerExchange> openExchanges = ConcurrentHashMap.newKeySet();
   private volatile boolean draining;
@@ -64,6 +68,12 @@
         new CallerExchange(
             gateway, response, callback, endPoint, () -> draining, e -> endRequest(e, endPoint));
     openExchanges.add(exchange);
+    if (REFUSED_METHODS.contains(request.getMethod())) {
+      // Jetty would keep the connection as a tunnel, whatever the status.
+      response.getHeaders().put(HttpHeader.CONNECTION, "close");
+      exchange.refuse("", HttpStatus.BAD_REQUEST_400, "the method is not supported");
+      return true;
+    }
     int maxBodyBytes =
         gateway.configuration().map(c -> c.limits().maxBodyBytes()).orElse(DEFAULT_MAX_BODY_BYTES);
     Content.Source.asByteArrayAsync(request, maxBodyBytes)
--- a/server/src/main/java/org/clementinequay/server/gateway/JettyFactory.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/JettyFactory.java
@@ -72,6 +72,7 @@
     connector.setAcceptQueueSize(ACCEPT_QUEUE);
     server.addConnector(connector);
     server.setHandler(handler);
+    server.setErrorHandler(new ConnectErrorHandler());
     return server;
   }
 
