Keep the cookies of one caller from the requests of others

What callers saw: nothing by themselves. Once an upstream had sent Set-Cookie in one caller's answer, the host sent that cookie to this upstream with the requests of all callers, so that an upstream could take one caller for another.

Cause: the HTTP client keeps a cookie store by default, and all callers share the client.

Change: JettyFactory.newClient sets an empty store. Cookies pass between caller and upstream as other headers do.

Ruled out: a store for each caller, which only the caller itself can keep rightly.

--- a/server/src/main/java/org/clementinequay/server/gateway/JettyFactory.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/JettyFactory.java
@@ -4,6 +4,7 @@
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.client.transport.HttpClientTransportOverHTTP;
 import org.eclipse.jetty.http.HttpCompliance;
+import org.eclipse.jetty.http.HttpCookieStore;
 import org.eclipse.jetty.http.UriCompliance;
 import org.eclipse.jetty.io.ClientConnector;
 import org.eclipse.jetty.server.Handler;
@@ -100,6 +101,8 @@
     client.setMaxResponseHeadersSize(MAX_RESPONSE_HEAD_BYTES);
     client.setFollowRedirects(false);
     client.setUserAgentField(null);
+    // The connections of a client carry requests of all callers.
+    client.setHttpCookieStore(new HttpCookieStore.Empty());
     // Response bodies are forwarded as the upstreams encoded them.
     client.getContentDecoderFactories().clear();
     return client;
