Return an upstream's status 401 to its caller

What callers saw: where an upstream answered 401 without a header WWW-Authenticate, the caller got 502.

Cause: the HTTP client handles challenges for credentials itself, and fails a 401 without that header as a breach of the protocol.

Change: ForwardingClient takes the handlers of both challenges out after its start, which puts them in. Status, headers and body go to the caller.

Evidence: AnswerHeadTest, statusReachesTheCaller, one of four cases failed before (401 without the header; with it, 407 and 302 passed), all pass.

Ruled out: to take out all handlers of the client, of which those for informational answers are needed.

--- a/server/src/main/java/org/clementinequay/server/gateway/JettyFactory.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/JettyFactory.java
@@ -93,7 +93,7 @@
     QueuedThreadPool threads = new QueuedThreadPool(CLIENT_THREADS, 3);
     threads.setName(name);
     connector.setExecutor(threads);
-    HttpClient client = new HttpClient(new HttpClientTransportOverHTTP(connector));
+    HttpClient client = new ForwardingClient(new HttpClientTransportOverHTTP(connector));
     client.setConnectTimeout(CONNECT_MILLIS);
     client.setIdleTimeout(UPSTREAM_IDLE_MILLIS);
     client.setMaxConnectionsPerDestination(MAX_CONNECTIONS_PER_UPSTREAM);
