Leave the encoding of bodies to callers and upstreams

Cause: JettyFactory.newClient cleared the decoders before the start of the client, which puts them in if there are none.

Change: ForwardingClient clears them after the start.

Evidence: AnswerHeadTest, encodingIsLeftToTheCaller (the upstream saw Accept-Encoding that no caller had sent), failed before and passes.

Ruled out: nothing else adds the header; what a caller sends still reaches the upstream.

--- a/server/src/main/java/org/clementinequay/server/gateway/ForwardingClient.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/ForwardingClient.java
@@ -5,7 +5,7 @@
 import org.eclipse.jetty.client.ProxyAuthenticationProtocolHandler;
 import org.eclipse.jetty.client.WWWAuthenticationProtocolHandler;
 
-/** HTTP client that leaves challenges for credentials to the callers. */
+/** HTTP client that leaves challenges for credentials and encodings of bodies to the callers. */
 final class ForwardingClient extends HttpClient {
   ForwardingClient(HttpClientTransport transport) {
     super(transport);
@@ -16,5 +16,6 @@
     super.doStart();
     getProtocolHandlers().remove(WWWAuthenticationProtocolHandler.NAME);
     getProtocolHandlers().remove(ProxyAuthenticationProtocolHandler.NAME);
+    getContentDecoderFactories().clear();
   }
 }
--- a/server/src/main/java/org/clementinequay/server/gateway/JettyFactory.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/JettyFactory.java
@@ -103,8 +103,6 @@
     client.setUserAgentField(null);
     // The connections of a client carry requests of all callers.
     client.setHttpCookieStore(new HttpCookieStore.Empty());
-    // Response bodies are forwarded as the upstreams encoded them.
-    client.getContentDecoderFactories().clear();
     return client;
   }
 }
