--- a/server/src/main/java/org/clementinequay/server/gateway/GatewayHandler.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/GatewayHandler.java
@@ -7,6 +7,7 @@
 import org.clementinequay.core.forward.AccountKeys;
 import org.clementinequay.core.forward.ForwardingConfiguration;
 import org.clementinequay.core.forward.Route;
+import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.io.Content;
 import org.eclipse.jetty.io.EndPoint;
@@ -22,8 +23,12 @@
 public final class GatewayHandler extends Handler.Abstract {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
+  private static final int DEFAULT_MAX_HEAD_BYTES = 16 << 10;
   private static final int DEFAULT_MAX_BODY_BYTES = 4 << 20;
 
+  /** Methods that are not for the upstreams of a route. */
+  private static final Set<String> REFUSED_METHODS = Set.of("CONNECT", "TRACE");
+
   private final Gateway gateway;
   private final Set<CallerExchange> openExchanges = ConcurrentHashMap.newKeySet();
   private volatile boolean draining;
@@ -65,6 +70,12 @@
         new CallerExchange(
             gateway, response, callback, endPoint, () -> draining, e -> endRequest(e, endPoint));
     openExchanges.add(exchange);
+    if (REFUSED_METHODS.contains(request.getMethod())) {
+      // Jetty would keep the connection as a tunnel, whatever the status.
+      response.getHeaders().put(HttpHeader.CONNECTION, "close");
+      exchange.refuse("", HttpStatus.BAD_REQUEST_400, "the method is not supported");
+      return true;
+    }
     int maxBodyBytes =
         gateway.configuration().map(c -> c.limits().maxBodyBytes()).orElse(DEFAULT_MAX_BODY_BYTES);
     Content.Source.asByteArrayAsync(request, maxBodyBytes)
@@ -104,7 +115,12 @@
       return;
     }
     String id = parsed.id().orElse("");
-    if (failure == null) {
+    if (RequestHeadSize.bytes(request) > maxHeadBytes()) {
+      exchange.refuse(
+          id,
+          HttpStatus.REQUEST_HEADER_FIELDS_TOO_LARGE_431,
+          "the head of the request is too long");
+    } else if (failure == null) {
       exchange.bodyRead();
       forward(parsed, body, exchange, endPoint);
     } else if (failure instanceof IllegalStateException
@@ -116,6 +132,13 @@
     }
   }
 
+  private int maxHeadBytes() {
+    return gateway
+        .configuration()
+        .map(c -> c.limits().maxHeaderBytes())
+        .orElse(DEFAULT_MAX_HEAD_BYTES);
+  }
+
   private static CloseAwareEndPoint closeAwareEndPoint(Request request) {
     EndPoint endPoint = request.getConnectionMetaData().getConnection().getEndPoint();
     return endPoint instanceof CloseAwareEndPoint closeAware ? closeAware : null;
--- a/server/src/main/java/org/clementinequay/server/gateway/GatewayHost.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/GatewayHost.java
@@ -61,6 +61,12 @@
   private final TcpPeerNetwork peers;
   private final List<PeriodicTask> tasks = new ArrayList<>();
 
+  /** Held while the HTTP listeners are opened, and while a stop finds out whether they are. */
+  private final Object listenLock = new Object();
+
+  private boolean listening;
+  private boolean stopping;
+
   /**
    * Creates the parts and binds the listener for peers; {@link #start} starts them.
    *
@@ -188,14 +194,24 @@
     tasks.add(new PeriodicTask(name, clock, step));
   }
 
-  /** Starts the HTTP clients, the peer network, the periodic tasks and then the HTTP listeners. */
+  /**
+   * Starts the HTTP clients, the peer network, the periodic tasks and then the HTTP listeners. If
+   * {@link #close} is called first or meanwhile, the listeners stay closed, or their start is
+   * completed before the stop begins.
+   */
   public void start() throws Exception {
     client.start();
     singleUseClient.start();
     peers.start();
     tasks.forEach(PeriodicTask::start);
-    server.start();
-    readyServer.start();
+    synchronized (listenLock) {
+      if (stopping) {
+        return;
+      }
+      server.start();
+      readyServer.start();
+      listening = true;
+    }
     log.record("started", "domain", settings.domain(), "callers", settings.callers());
   }
 
@@ -203,10 +219,17 @@
    * Stops gracefully within the grace period, see {@link StopSchedule}. The readiness check fails
    * at once while connections are still accepted. Requests that cannot end in time are refused
    * before they are passed on; the others may end. What remains at the end gets a failure, or its
-   * response is broken off.
+   * response is broken off. A host that does not listen yet stops at once.
    */
   @Override
   public void close() throws Exception {
+    if (!beginStop()) {
+      log.record("stopped_before_start");
+      tasks.forEach(PeriodicTask::close);
+      peers.close();
+      log.close();
+      return;
+    }
     log.record("stopping", "open", handler.openRequests());
     long start = clock.nanoTime();
     StopSchedule schedule = StopSchedule.forGracePeriod(seconds(settings.stopSeconds()));
@@ -239,4 +262,12 @@
     }
     log.record("stopped", "unfinished", open);
   }
+
+  /** Returns whether there are HTTP listeners to stop; none is opened from now on. */
+  private boolean beginStop() {
+    synchronized (listenLock) {
+      stopping = true;
+      return listening;
+    }
+  }
 }
--- a/server/src/main/java/org/clementinequay/server/gateway/JettyFactory.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/JettyFactory.java
@@ -4,6 +4,7 @@
 import org.clementinequay.server.upstream.BoundedHttpTransport;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.http.HttpCompliance;
+import org.eclipse.jetty.http.HttpCookieStore;
 import org.eclipse.jetty.http.UriCompliance;
 import org.eclipse.jetty.io.ClientConnector;
 import org.eclipse.jetty.server.Handler;
@@ -15,7 +16,13 @@
 
 /** Creates Jetty servers and clients with few threads, for hosts with a fraction of a core. */
 final class JettyFactory {
-  private static final int MAX_HEADER_BYTES = 16 * 1024;
+  /** Largest head of a request in bytes; the configuration may allow less. */
+  private static final int MAX_REQUEST_HEAD_BYTES = 64 * 1024;
+
+  /** Room for the headers that an attempt has in addition to those of the caller, in bytes. */
+  private static final int ADDED_HEADER_BYTES = 4 * 1024;
+
+  private static final int MAX_RESPONSE_HEAD_BYTES = 16 * 1024;
   private static final int SERVER_THREADS = 12;
   private static final int CLIENT_THREADS = 10;
   private static final int ACCEPT_QUEUE = 512;
@@ -50,7 +57,7 @@
     HttpConfiguration http = new HttpConfiguration();
     http.setSendServerVersion(false);
     http.setSendDateHeader(false);
-    http.setRequestHeaderSize(MAX_HEADER_BYTES);
+    http.setRequestHeaderSize(MAX_REQUEST_HEAD_BYTES);
     // Paths are forwarded unchanged; this host only compares them with the prefixes of routes.
     http.setUriCompliance(UriCompliance.UNSAFE);
     http.setHttpCompliance(HttpCompliance.RFC7230);
@@ -66,6 +73,7 @@
     connector.setAcceptQueueSize(ACCEPT_QUEUE);
     server.addConnector(connector);
     server.setHandler(handler);
+    server.setErrorHandler(new ConnectErrorHandler());
     return server;
   }
 
@@ -85,15 +93,16 @@
     QueuedThreadPool threads = new QueuedThreadPool(CLIENT_THREADS, 3);
     threads.setName(name);
     connector.setExecutor(threads);
-    HttpClient client = new HttpClient(new BoundedHttpTransport(connector));
+    HttpClient client = new ForwardingClient(new BoundedHttpTransport(connector));
     client.setConnectTimeout(CONNECT_MILLIS);
     client.setIdleTimeout(UPSTREAM_IDLE_MILLIS);
     client.setMaxConnectionsPerDestination(MAX_CONNECTIONS_PER_UPSTREAM);
-    client.setMaxResponseHeadersSize(MAX_HEADER_BYTES);
+    client.setMaxRequestHeadersSize(MAX_REQUEST_HEAD_BYTES + ADDED_HEADER_BYTES);
+    client.setMaxResponseHeadersSize(MAX_RESPONSE_HEAD_BYTES);
     client.setFollowRedirects(false);
     client.setUserAgentField(null);
-    // Response bodies are forwarded as the upstreams encoded them.
-    client.getContentDecoderFactories().clear();
+    // The connections of a client carry requests of all callers.
+    client.setHttpCookieStore(new HttpCookieStore.Empty());
     client.getProtocolHandlers().put(new InformationalHandler());
     return client;
   }
--- a/server/src/main/java/org/clementinequay/server/gateway/JettyUpstreamSender.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/JettyUpstreamSender.java
@@ -28,11 +28,11 @@
   public UpstreamTransport.Call newCall(OutboundRequest outbound, UpstreamListener listener) {
     HostAndPort upstream = HostAndPort.fromString(outbound.address());
     Request request =
-        (outbound.newConnection() ? singleUseClient : client)
-            .newRequest(upstream.getHost(), upstream.getPort())
-            .scheme("http")
-            .method(outbound.method())
-            .path(outbound.pathQuery())
+        new VerbatimRequest(
+                outbound.newConnection() ? singleUseClient : client,
+                upstream,
+                outbound.method(),
+                outbound.pathQuery())
             .idleTimeout(Math.max(1, outbound.idleTimeoutMillis()), TimeUnit.MILLISECONDS)
             .headers(
                 fields -> {
