Bound the answers to the product's entry host as well

The clients of the host that does not run on the platform still used Jetty's transport, which bounds neither informational answers nor chunk extensions. The tests of BoundedHttpTransport cover the transport; nothing shows the fault on this host itself.

--- a/server/src/main/java/org/clementinequay/server/entry/JettyFactory.java
+++ b/server/src/main/java/org/clementinequay/server/entry/JettyFactory.java
@@ -2,9 +2,9 @@
 
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import org.clementinequay.server.upstream.BoundedHttpTransport;
 import org.clementinequay.server.upstream.PlainConnector;
 import org.eclipse.jetty.client.HttpClient;
-import org.eclipse.jetty.client.transport.HttpClientTransportOverHTTP;
 import org.eclipse.jetty.io.ClientConnector;
 import org.eclipse.jetty.server.Handler;
 import org.eclipse.jetty.server.HttpConfiguration;
@@ -61,7 +61,7 @@
     threads.setName(name);
     connector.setExecutor(threads);
     connector.setConnectTimeout(CONNECT_TIMEOUT);
-    HttpClient client = new HttpClient(new HttpClientTransportOverHTTP(connector));
+    HttpClient client = new HttpClient(new BoundedHttpTransport(connector));
     client.setMaxConnectionsPerDestination(MAX_CONNECTIONS_PER_DESTINATION);
     client.setMaxRequestsQueuedPerDestination(MAX_QUEUED_PER_DESTINATION);
     client.setMaxResponseHeadersSize(MAX_RESPONSE_HEADER_BYTES);
