Empty evacuated domains, spare cold upstreams, stay in regions

Change: the operator reading carries evacuations and removed rows; OperatorReading names the evacuated domains, because a removed row has no revision. Gateway.available and accepts leave evacuated upstreams and other regions out; a slot at a cold upstream is taken as the last step before a send. A request that is held back there says nothing about the upstream's health. A restarted or cold engine has no cached prefixes. Settings coldRequestFactor, coldRequestExtra, evacuationMillis and regions; absent ones leave hosts as they were.

--- a/core/src/main/java/org/clementinequay/core/forward/Route.java
+++ b/core/src/main/java/org/clementinequay/core/forward/Route.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Objects;
+import java.util.Set;
 
 /**
  * Maps requests by host name and path prefix to services, with limits of time and attempts.
@@ -20,6 +21,7 @@
  * @param anonymousAccess whether requests need no API key
  * @param targets services with the weights by which requests are split over them
  * @param modelsBySize models that may answer, smallest first; empty if the caller selects the model
+ * @param allowedRegions regions in which requests may be served; empty if all are allowed
  */
 public record Route(
     String name,
@@ -33,11 +35,13 @@
     int maxAttempts,
     boolean anonymousAccess,
     List<WeightedTarget> targets,
-    List<String> modelsBySize) {
-  /** Stores unmodifiable copies of the lists. */
+    List<String> modelsBySize,
+    Set<String> allowedRegions) {
+  /** Stores unmodifiable copies of the collections. */
   public Route {
     targets = List.copyOf(targets);
     modelsBySize = List.copyOf(modelsBySize);
+    allowedRegions = Set.copyOf(allowedRegions);
   }
 
   public static Builder builder(String name) {
@@ -81,6 +85,7 @@
     private boolean anonymousAccess;
     private List<WeightedTarget> targets = List.of();
     private List<String> modelsBySize = List.of();
+    private Set<String> allowedRegions = Set.of();
 
     private Builder(String name) {
       this.name = Objects.requireNonNull(name);
@@ -152,6 +157,12 @@
       return this;
     }
 
+    /** Sets the regions in which requests may be served; none for all. */
+    public Builder allowedRegions(Set<String> value) {
+      allowedRegions = value;
+      return this;
+    }
+
     /** Returns a route with the values set so far. */
     public Route build() {
       return new Route(
@@ -166,7 +177,8 @@
           maxAttempts,
           anonymousAccess,
           targets,
-          modelsBySize);
+          modelsBySize,
+          allowedRegions);
     }
   }
 }
--- a/core/src/main/java/org/clementinequay/core/forward/UpstreamInstance.java
+++ b/core/src/main/java/org/clementinequay/core/forward/UpstreamInstance.java
@@ -11,6 +11,8 @@
  * @param slots requests that it runs concurrently
  * @param leaving whether it will stop soon and accepts no new requests
  * @param startMillis start time as Unix time in milliseconds; 0 if not reported
+ * @param coldMillis how long it stays cold from the time of the entry on, in milliseconds; {@link
+ *     #COLD_UNKNOWN} if the entry does not tell
  */
 public record UpstreamInstance(
     String id,
@@ -20,7 +22,24 @@
     String version,
     int slots,
     boolean leaving,
-    long startMillis) {
+    long startMillis,
+    long coldMillis) {
+  /** Value of {@code coldMillis} if the entry does not tell. */
+  public static final long COLD_UNKNOWN = -1;
+
+  /** Creates an entry that does not tell how long the upstream stays cold. */
+  public UpstreamInstance(
+      String id,
+      String service,
+      String address,
+      String domain,
+      String version,
+      int slots,
+      boolean leaving,
+      long startMillis) {
+    this(id, service, address, domain, version, slots, leaving, startMillis, COLD_UNKNOWN);
+  }
+
   /** Returns whether the other entry describes the same process, not an earlier or later one. */
   public boolean isSameProcess(UpstreamInstance other) {
     return id.equals(other.id) && startMillis == other.startMillis && address.equals(other.address);
--- a/core/src/main/java/org/clementinequay/core/placement/EngineSelector.java
+++ b/core/src/main/java/org/clementinequay/core/placement/EngineSelector.java
@@ -139,6 +139,11 @@
     return engine(name).outstandingRuns;
   }
 
+  /** Forgets which prefixes an engine has cached, because it has none after a cold start. */
+  public synchronized void forgetPrefixes(String name) {
+    engine(name).prefixes.clear();
+  }
+
   /** Removes the state of all engines that are not among the given names. */
   public synchronized void retain(Set<String> names) {
     engines.keySet().retainAll(names);
--- a/server/src/main/java/org/clementinequay/server/gateway/AttemptPlacement.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/AttemptPlacement.java
@@ -5,6 +5,8 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import org.clementinequay.core.evacuation.AllowedRegions;
+import org.clementinequay.core.forward.AccountKeys;
 import org.clementinequay.core.forward.EngineProfile;
 import org.clementinequay.core.forward.Route;
 import org.clementinequay.core.forward.ServiceProfile;
@@ -22,17 +24,26 @@
   private final GatewayRequest request;
   private final Route route;
   private final String service;
+  private final AllowedRegions regions;
   private int modelIndex;
   private boolean failedOnTarget;
 
   /** Selected upstream with the estimates on which the selection is based. */
   record Selection(UpstreamInstance instance, EngineSelector.Choice choice) {}
 
-  AttemptPlacement(Gateway gateway, GatewayRequest request, Route route, String service) {
+  AttemptPlacement(
+      Gateway gateway,
+      GatewayRequest request,
+      Route route,
+      Optional<AccountKeys> account,
+      String service) {
     this.gateway = gateway;
     this.request = request;
     this.route = route;
     this.service = service;
+    this.regions =
+        new AllowedRegions(
+            route.allowedRegions(), account.map(AccountKeys::allowedRegions).orElse(Set.of()));
   }
 
   /** Returns the model that the router chose; empty if the caller chose it. */
@@ -100,7 +111,7 @@
    */
   Optional<Selection> selectAgain(Set<String> ids) {
     List<UpstreamInstance> candidates = new ArrayList<>();
-    for (UpstreamInstance instance : gateway.available(service)) {
+    for (UpstreamInstance instance : admitting()) {
       if (ids.contains(instance.id()) && !isStoppedTarget(instance)) {
         candidates.add(instance);
       }
@@ -161,7 +172,7 @@
   private List<UpstreamInstance> untriedOfVersion(
       Set<String> triedIds, Optional<TrafficShift> shift, boolean target) {
     List<UpstreamInstance> result = new ArrayList<>();
-    for (UpstreamInstance instance : gateway.available(service)) {
+    for (UpstreamInstance instance : admitting()) {
       boolean allowed =
           shift.isEmpty() || instance.version().equals(shift.get().order().target()) == target;
       if (allowed && !triedIds.contains(instance.id()) && gateway.health.available(instance.id())) {
@@ -179,7 +190,7 @@
    */
   private List<UpstreamInstance> untriedInOwnDomain(Set<String> triedIds) {
     List<UpstreamInstance> result = new ArrayList<>();
-    for (UpstreamInstance instance : gateway.available(service)) {
+    for (UpstreamInstance instance : admitting()) {
       if (!isStoppedTarget(instance)
           && !triedIds.contains(instance.id())
           && instance.domain().equals(gateway.domain)) {
@@ -189,6 +200,19 @@
     return result;
   }
 
+  /** Returns whether a request may be sent now, as the last step before that. */
+  boolean admits(UpstreamInstance instance) {
+    return gateway.accepts(instance, regions) && gateway.tryAdmit(instance);
+  }
+
+  /** Returns the upstreams to which this host may send the request now. */
+  private List<UpstreamInstance> admitting() {
+    long now = gateway.clock.nanoTime();
+    return gateway.available(service, regions).stream()
+        .filter(instance -> gateway.coldStarts.available(instance.id(), now))
+        .toList();
+  }
+
   /** Returns whether an upstream has the target version of a shift that sends it no traffic. */
   private boolean isStoppedTarget(UpstreamInstance instance) {
     return gateway
--- a/server/src/main/java/org/clementinequay/server/gateway/Gateway.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/Gateway.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
@@ -13,11 +14,16 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
+import org.clementinequay.core.coldstart.ColdStartLimiter;
 import org.clementinequay.core.dispatch.RetryWindow;
 import org.clementinequay.core.dispatch.UpstreamHealthTracker;
+import org.clementinequay.core.evacuation.AllowedRegions;
+import org.clementinequay.core.evacuation.EvacuatedDomains;
+import org.clementinequay.core.evacuation.EvacuationReading;
 import org.clementinequay.core.forward.ForwardingConfiguration;
 import org.clementinequay.core.forward.InstanceDirectory;
 import org.clementinequay.core.forward.Route;
+import org.clementinequay.core.forward.ServiceProfile;
 import org.clementinequay.core.forward.UpstreamInstance;
 import org.clementinequay.core.placement.EngineSelector;
 import org.clementinequay.core.rollout.ShiftOrder;
@@ -61,12 +67,20 @@
   /** Times from the start of the first attempt to the end of a successful answer, by route. */
   final RecentDurations durations = new RecentDurations();
 
+  /** Limits the requests to upstreams that have just started. */
+  final ColdStartLimiter coldStarts;
+
+  /** Failure domains whose upstreams get no new requests. */
+  final EvacuatedDomains evacuated = new EvacuatedDomains();
+
   final CrashGuard crashGuard;
   final RandomGenerator random;
   final String hostName;
   final String domain;
   private final BlockingQueue<StalledAttempt> stalled =
       new ArrayBlockingQueue<>(MAX_PENDING_STALLED);
+  private final Map<String, String> regionByDomain;
+  private final Map<String, Long> startById = new HashMap<>();
   private final InstanceDirectory directory = new InstanceDirectory();
   private final Map<String, TrafficShift> shifts = new ConcurrentHashMap<>();
   private final Map<String, RetryWindow> retryBudgets = new ConcurrentHashMap<>();
@@ -88,6 +102,12 @@
     this.sessions = new SessionVersions(builder.sessionIdleTime);
     this.health = new UpstreamHealthTracker(clock, MAX_PROBE_DELAY);
     this.crashGuard = new CrashGuard(clock);
+    this.regionByDomain = Map.copyOf(builder.regionByDomain);
+    this.coldStarts = builder.coldStarts.orElseGet(() -> noColdStartLimit(hostName));
+  }
+
+  private static ColdStartLimiter noColdStartLimit(String host) {
+    return new ColdStartLimiter(host, Optional.empty());
   }
 
   public static Builder builder() {
@@ -112,6 +132,12 @@
         configuration == null ? 0 : configuration.version(),
         "routes",
         newer.routes().routes().size());
+    if (configuration == null) {
+      // Without a configuration it was not known what the upstreams bear.
+      available.values().stream()
+          .flatMap(List::stream)
+          .forEach(instance -> recordColdEntry(instance, newer));
+    }
     configuration = newer;
     return true;
   }
@@ -129,8 +155,12 @@
     if (changes.added().isEmpty() && changes.removed().isEmpty()) {
       return;
     }
-    available = directory.available();
+    // Before requests can see them: no request may reach an upstream that is not known to be cold.
+    changes.added().forEach(this::recordStart);
+    refreshAvailable();
     engineSelector.retain(directory.ids());
+    coldStarts.retain(directory.ids());
+    startById.keySet().retainAll(directory.ids());
     health.retain(directory.ids());
     for (UpstreamInstance instance : changes.added()) {
       log.record(
@@ -149,6 +179,91 @@
     }
   }
 
+  /** Records an entry that is new or changed; an engine that restarted has nothing in its cache. */
+  private void recordStart(UpstreamInstance instance) {
+    Long before = startById.put(instance.id(), instance.startMillis());
+    boolean started = before == null || before != instance.startMillis();
+    if (started) {
+      engineSelector.forgetPrefixes(instance.id());
+    }
+    if (started || instance.coldMillis() != UpstreamInstance.COLD_UNKNOWN) {
+      configuration().ifPresent(known -> recordColdEntry(instance, known));
+    }
+  }
+
+  private void recordColdEntry(UpstreamInstance instance, ForwardingConfiguration known) {
+    long millis = instance.coldMillis();
+    markCold(
+        instance,
+        known,
+        millis == UpstreamInstance.COLD_UNKNOWN ? Optional.empty() : Optional.of(millis),
+        "its entry");
+  }
+
+  /** Limits the requests to an upstream for a time, or for its service's if that is empty. */
+  private void markCold(
+      UpstreamInstance instance,
+      ForwardingConfiguration known,
+      Optional<Long> millis,
+      String reason) {
+    Optional<ServiceProfile> service = known.service(instance.service());
+    if (service.isEmpty()) {
+      return;
+    }
+    long now = clock.nanoTime();
+    long coldMillis = millis.orElse(service.get().coldStart().toMillis());
+    double perSecond = service.get().coldRequestsPerSecond();
+    if (coldStarts.markCold(instance.id(), perSecond, now + coldMillis * 1_000_000, now)) {
+      engineSelector.forgetPrefixes(instance.id());
+      log.record(
+          "upstream_cold",
+          "id",
+          instance.id(),
+          "service",
+          instance.service(),
+          "ms",
+          coldMillis,
+          "reason",
+          reason,
+          "share",
+          coldStarts.share(instance.id(), now));
+    }
+  }
+
+  /**
+   * Applies what a reading says about evacuations. Upstreams of a domain that is taken back may be
+   * cold without their entries telling it yet.
+   *
+   * @param learnedBy kind of the reading, for the log
+   */
+  synchronized void applyEvacuations(EvacuationReading reading, String learnedBy) {
+    EvacuatedDomains.Changes changes = evacuated.apply(reading, clock.nanoTime());
+    if (changes.isEmpty()) {
+      return;
+    }
+    for (String domain : changes.evacuated()) {
+      log.record("evacuated", "domain", domain, "read", learnedBy);
+    }
+    for (String domain : changes.takenBack()) {
+      log.record("evacuation_ended", "domain", domain, "read", learnedBy);
+    }
+    configuration().ifPresent(known -> markTakenBack(changes.takenBack(), known));
+    refreshAvailable();
+  }
+
+  private void markTakenBack(List<String> domains, ForwardingConfiguration known) {
+    directory.available().values().stream()
+        .flatMap(List::stream)
+        .filter(instance -> domains.contains(instance.domain()))
+        .forEach(i -> markCold(i, known, Optional.empty(), "its domain was evacuated"));
+  }
+
+  private void refreshAvailable() {
+    Map<String, List<UpstreamInstance>> next = directory.available();
+    next.values().forEach(list -> list.removeIf(i -> evacuated.contains(i.domain())));
+    available = next;
+  }
+
   private boolean isServing(String upstream, long nowNanos) {
     return engineSelector.silenceMillis(upstream, nowNanos) <= SERVING_WINDOW_MILLIS;
   }
@@ -161,7 +276,10 @@
     return directory.ageNanos(clock.nanoTime());
   }
 
-  /** Returns the upstreams of a service that accept new requests; empty for an unknown service. */
+  /**
+   * Returns the upstreams of a service that may get new requests: listed, not leaving and not in an
+   * evacuated failure domain; empty for an unknown service.
+   */
   public List<UpstreamInstance> available(String service) {
     return available.getOrDefault(service, List.of());
   }
@@ -183,9 +301,26 @@
         || admission.admits(clock.nanoTime(), receivedNanos, limit, durations.usual(route.name()));
   }
 
-  /** Returns whether an upstream is listed and not leaving. */
-  boolean accepts(UpstreamInstance instance) {
-    return available(instance.service()).stream().anyMatch(instance::isSameProcess);
+  /** Returns the upstreams of a service that may get new requests and are in an allowed region. */
+  List<UpstreamInstance> available(String service, AllowedRegions regions) {
+    List<UpstreamInstance> all = available(service);
+    return regions.isAny()
+        ? all
+        : all.stream().filter(instance -> regions.allow(regionOf(instance))).toList();
+  }
+
+  /** Returns whether an upstream may get new requests, as in {@link #available}. */
+  boolean accepts(UpstreamInstance instance, AllowedRegions regions) {
+    return available(instance.service(), regions).stream().anyMatch(instance::isSameProcess);
+  }
+
+  private String regionOf(UpstreamInstance instance) {
+    return regionByDomain.getOrDefault(instance.domain(), "");
+  }
+
+  /** Takes the right to send a request to an upstream now; the last step before the send. */
+  boolean tryAdmit(UpstreamInstance instance) {
+    return coldStarts.tryAdmit(instance.id(), clock.nanoTime());
   }
 
   /** Returns the traffic shift of a service; empty if none was ordered. */
@@ -262,6 +397,8 @@
     private RandomGenerator random = new SplittableRandom();
     private Supplier<RetryWindow> budgetFactory;
     private Duration sessionIdleTime;
+    private Map<String, String> regionByDomain = Map.of();
+    private Optional<ColdStartLimiter> coldStarts = Optional.empty();
 
     private Builder() {}
 
@@ -317,6 +454,18 @@
       return this;
     }
 
+    /** Sets the regions of failure domains, by their names; by default none is known. */
+    public Builder regions(Map<String, String> value) {
+      regionByDomain = value;
+      return this;
+    }
+
+    /** Sets the limit on requests to cold upstreams; by default there is none. */
+    public Builder coldStarts(ColdStartLimiter value) {
+      coldStarts = Optional.of(value);
+      return this;
+    }
+
     public Gateway build() {
       return new Gateway(this);
     }
--- a/server/src/main/java/org/clementinequay/server/gateway/GatewayAttempt.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/GatewayAttempt.java
@@ -68,6 +68,9 @@
   /** Whether the upstream may have received the request. */
   boolean maybeSent;
 
+  /** Whether this host held the request back, which says nothing about the upstream. */
+  private boolean heldBack;
+
   boolean slow;
   private long lastReceivedNanos;
   private boolean answerBegunRecorded;
@@ -143,7 +146,8 @@
           if (isActive() && forwarder.mustRefuseForStop()) {
             forwarder.refuseForStop();
           }
-          maybeSent = isActive() && gateway.accepts(instance);
+          maybeSent = isActive() && forwarder.placement.admits(instance);
+          heldBack = !maybeSent;
           return maybeSent;
         });
   }
@@ -531,6 +535,18 @@
                     gateway.hostName, forwarder.route.name(), instance.version(), failure, slow));
   }
 
+  /** Records a failure of the attempt and returns whether it ejected the upstream. */
+  private boolean recordInHealth(boolean offered) {
+    if (offered) {
+      return gateway.health.recordFailure(instance.id());
+    }
+    if (heldBack) {
+      gateway.health.recordAbandoned(instance.id());
+      return false;
+    }
+    return gateway.health.recordUnreachable(instance.id());
+  }
+
   @Override
   public void failed(Throwable cause, boolean offered) {
     forwarder.update(() -> handleFailure(cause, offered));
@@ -550,10 +566,7 @@
     if (!offered) {
       forwarder.attempts--;
     }
-    boolean ejected =
-        offered
-            ? gateway.health.recordFailure(instance.id())
-            : gateway.health.recordUnreachable(instance.id());
+    boolean ejected = recordInHealth(offered);
     if (offered) {
       forwarder.placement.recordFailure(instance);
     }
--- a/server/src/main/java/org/clementinequay/server/gateway/GatewayHost.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/GatewayHost.java
@@ -7,8 +7,13 @@
 import java.security.SecureRandom;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Optional;
+import java.util.Set;
 import org.clementinequay.core.Incarnation;
+import org.clementinequay.core.coldstart.ColdStartBound;
+import org.clementinequay.core.coldstart.ColdStartLimiter;
 import org.clementinequay.core.dispatch.RetryShare;
 import org.clementinequay.core.dispatch.RetryWindow;
 import org.clementinequay.core.platform.HostEntry;
@@ -44,6 +49,8 @@
           PeerTimings.PRODUCTION.secondDialDelay(),
           Duration.ofSeconds(30));
 
+  private static final Duration MEMBERS_INTERVAL = Duration.ofMillis(500);
+
   private static final Duration DRAIN_POLL = Duration.ofMillis(50);
 
   private final GatewaySettings settings;
@@ -93,6 +100,8 @@
             .observer(metrics::recordRouteRequest)
             .retryBudgets(this::newRetryBudget)
             .sessionIdleTime(seconds(settings.sessionSeconds()))
+            .regions(settings.regions())
+            .coldStarts(newColdStartLimiter(settings))
             .build();
     this.handler = new GatewayHandler(gateway);
     this.readinessHandler = new ReadinessHandler(gateway, metrics::scrape);
@@ -110,6 +119,14 @@
         () -> gateway.configuration().map(c -> (double) c.version()).orElse(0.0));
     metrics.registerGauge(
         "clementinequay_upstream_list_age_seconds", () -> gateway.instanceListAgeNanos() / 1e9);
+    metrics.registerGauge(
+        "clementinequay_cold_upstreams", () -> gateway.coldStarts.coldUpstreams(clock.nanoTime()));
+    metrics.registerGauge(
+        "clementinequay_cold_start_slots", () -> gateway.coldStarts.shares(clock.nanoTime()));
+    metrics.registerGauge(
+        "clementinequay_cold_start_held_back", () -> gateway.coldStarts.heldBack());
+    metrics.registerGauge(
+        "clementinequay_evacuated_domains", () -> gateway.evacuated.names().size());
     metrics.registerGauge(
         "clementinequay_quarantined_prompt_parts",
         () -> gateway.crashGuard.quarantinedParts().size());
@@ -119,6 +136,7 @@
     addTask("watch", new RequestWatchdog(gateway)::step);
     HostEntry self =
         new HostEntry(settings.name(), "entry", settings.domain(), settings.peers(), false);
+    addTask("members", this::updateMembers);
     addTask("registration", new HostRegistrationTask(registry, self, log)::step);
   }
 
@@ -130,13 +148,32 @@
         () -> RetryShare.ofBurst(settings.retryBurst(), peers.listedHosts()));
   }
 
+  private static ColdStartLimiter newColdStartLimiter(GatewaySettings settings) {
+    return new ColdStartLimiter(
+        settings.name(),
+        Optional.ofNullable(settings.coldRequestFactor())
+            .map(factor -> new ColdStartBound(factor, settings.coldRequestExtra())));
+  }
+
+  /** Passes on the entry hosts on the list and, once there is one, those that are linked. */
+  private Duration updateMembers() {
+    Set<String> members = new HashSet<>(peers.listedHostNames());
+    if (!members.isEmpty()) {
+      peers.peers().forEach(peer -> members.add(peer.host()));
+    }
+    gateway.coldStarts.addMembers(members, clock.nanoTime());
+    return MEMBERS_INTERVAL;
+  }
+
   private static Duration seconds(double value) {
     return Duration.ofMillis((long) (value * 1000));
   }
 
   private void addStoreTasks(PlatformStore platform, StoreReaderRole role) {
     StoreReadTimings timings =
-        new StoreReadTimings(settings.drainMillis(), settings.configurationMillis());
+        new StoreReadTimings(
+            settings.drainMillis(),
+            Math.min(settings.configurationMillis(), settings.evacuationMillis()));
     StoreClock storeClock = new StoreClock();
     OperatorChangeTask changes =
         new OperatorChangeTask(
--- a/server/src/main/java/org/clementinequay/server/gateway/GatewaySettings.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/GatewaySettings.java
@@ -6,7 +6,9 @@
 import com.fasterxml.jackson.databind.ObjectReader;
 import com.fasterxml.jackson.databind.json.JsonMapper;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 
 /**
  * Settings of an entry host that forwards requests by route, read from JSON with comments.
@@ -29,6 +31,12 @@
  *     new request; 2000 if it is absent
  * @param configurationMillis milliseconds after which a change by the operator must be in force;
  *     2000 if it is absent
+ * @param coldRequestFactor factor by which upstreams after a cold start may get more requests a
+ *     second than their service states, over all hosts; no limit if it is absent
+ * @param coldRequestExtra requests a second that are added to that; 0 if it is absent
+ * @param evacuationMillis milliseconds after which the upstreams of an evacuated failure domain
+ *     must get no new request; {@code configurationMillis} if it is absent
+ * @param regions region of each failure domain by its name; only that of this host if absent
  */
 public record GatewaySettings(
     String name,
@@ -46,7 +54,11 @@
     double retryWindowSeconds,
     double sessionSeconds,
     Long drainMillis,
-    Long configurationMillis) {
+    Long configurationMillis,
+    Double coldRequestFactor,
+    Double coldRequestExtra,
+    Long evacuationMillis,
+    Map<String, String> regions) {
   /** Value of the times that the settings leave out, in milliseconds. */
   private static final long DEFAULT_MILLIS = 2000;
 
@@ -57,10 +69,24 @@
           .build()
           .readerFor(GatewaySettings.class);
 
-  /** Replaces absent times by their defaults. */
+  /** Replaces absent values by their defaults. */
   public GatewaySettings {
     drainMillis = drainMillis == null ? DEFAULT_MILLIS : drainMillis;
     configurationMillis = configurationMillis == null ? DEFAULT_MILLIS : configurationMillis;
+    coldRequestExtra = coldRequestExtra == null ? 0.0 : coldRequestExtra;
+    evacuationMillis = evacuationMillis == null ? configurationMillis : evacuationMillis;
+    regions = knownRegions(regions, domain, region);
+  }
+
+  private static Map<String, String> knownRegions(
+      Map<String, String> stated, String domain, String region) {
+    Map<String, String> known = new HashMap<>();
+    if (stated != null) {
+      known.putAll(stated);
+    }
+    known.putIfAbsent(domain, region);
+    known.entrySet().removeIf(entry -> entry.getKey() == null || entry.getValue() == null);
+    return Map.copyOf(known);
   }
 
   /**
@@ -87,6 +113,11 @@
     requirePositive(findings, "retryWindowSeconds", settings.retryWindowSeconds());
     requirePositive(findings, "drainMillis", settings.drainMillis());
     requirePositive(findings, "configurationMillis", settings.configurationMillis());
+    requirePositive(findings, "evacuationMillis", settings.evacuationMillis());
+    requireNotNegative(findings, "coldRequestExtra", settings.coldRequestExtra());
+    if (settings.coldRequestFactor() != null) {
+      requireNotNegative(findings, "coldRequestFactor", settings.coldRequestFactor());
+    }
     if (!findings.isEmpty()) {
       throw new InvalidSettingsException(findings);
     }
@@ -105,6 +136,12 @@
     }
   }
 
+  private static void requireNotNegative(List<String> findings, String field, double value) {
+    if (!(value >= 0)) {
+      findings.add(field + ": must not be negative: " + value);
+    }
+  }
+
   private static void requireAddress(List<String> findings, String field, String value) {
     if (value == null || !value.matches("[^:]+:[0-9]{1,5}")) {
       findings.add(field + ": is not an address of the form host:port: " + value);
--- a/server/src/main/java/org/clementinequay/server/gateway/OperatorChangeTask.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/OperatorChangeTask.java
@@ -68,12 +68,15 @@
       for (ShiftOrder order : state.orders()) {
         gateway.applyOrder(order);
       }
+      gateway.applyEvacuations(state.evacuations(), cursor < 0 ? "all rows" : "a change");
       cursor = state.cursor();
       newestChange = Math.max(newestChange, state.newestChange());
       schedule.recordRead(storeClock.toHostNanos(state.storeMillis(), gateway.clock.nanoTime()));
       dependency.succeeded();
       links.broadcast(
-          new PeerMessage.OperatorReading(newestChange, state.storeMillis()), role::isNear);
+          new PeerMessage.OperatorReading(
+              newestChange, state.storeMillis(), gateway.evacuated.names()),
+          role::isNear);
     } catch (HistoryLostException e) {
       gateway.log.record("history_lost", "cursor", cursor, "reason", e.getMessage());
       cursor = -1;
@@ -87,7 +90,7 @@
   @Override
   public void received(PeerNetwork.Peer from, PeerMessage message) {
     if (message instanceof PeerMessage.OperatorReading reading && role.isNear(from)) {
-      if (reading.newestChange() > newestChange) {
+      if (reading.newestChange() > newestChange || differsInEvacuations(reading)) {
         schedule.recordBehind();
       } else if (reading.newestChange() == newestChange) {
         schedule.recordConfirmation(
@@ -95,4 +98,8 @@
       }
     }
   }
+
+  private boolean differsInEvacuations(PeerMessage.OperatorReading reading) {
+    return reading.evacuated() != null && !reading.evacuated().equals(gateway.evacuated.names());
+  }
 }
--- a/server/src/main/java/org/clementinequay/server/gateway/OperatorState.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/OperatorState.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import org.clementinequay.core.evacuation.EvacuationReading;
 import org.clementinequay.core.forward.ForwardingConfiguration;
 import org.clementinequay.core.rollout.ShiftOrder;
 
@@ -10,6 +11,7 @@
  *
  * @param configuration the configuration; empty if it did not change or is invalid
  * @param orders orders to shift traffic to other versions
+ * @param evacuations failure domains that are evacuated or no longer so
  * @param cursor position from which later changes can be awaited
  * @param newestChange revision of the newest change among them; 0 if there is none
  * @param storeMillis time of the reading by the store's clock, in milliseconds; 0 if unknown
@@ -17,6 +19,7 @@
 public record OperatorState(
     Optional<ForwardingConfiguration> configuration,
     List<ShiftOrder> orders,
+    EvacuationReading evacuations,
     long cursor,
     long newestChange,
     long storeMillis) {}
--- a/server/src/main/java/org/clementinequay/server/gateway/RequestForwarder.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/RequestForwarder.java
@@ -105,7 +105,7 @@
     this.deadlineNanos = receivedNanos + timeoutMillis * 1_000_000;
     this.service = route.selectService(gateway.random.nextDouble());
     this.sharedPartIds = request.sharedPartIds();
-    this.placement = new AttemptPlacement(gateway, request, route, service);
+    this.placement = new AttemptPlacement(gateway, request, route, account, service);
     this.events = new EventSplitter(request.lastEventId().orElse(0));
   }
 
--- a/server/src/main/java/org/clementinequay/server/peer/PeerMessage.java
+++ b/server/src/main/java/org/clementinequay/server/peer/PeerMessage.java
@@ -141,8 +141,13 @@
    * revision.
    *
    * @param storeMillis time of the read by the store's clock, in milliseconds; 0 if unknown
+   * @param evacuated failure domains that are evacuated, because a removed order has no revision;
+   *     null from a host that does not know of evacuations
    */
-  record OperatorReading(@JsonProperty("n") long newestChange, @JsonProperty("m") long storeMillis)
+  record OperatorReading(
+      @JsonProperty("n") long newestChange,
+      @JsonProperty("m") long storeMillis,
+      @JsonProperty("e") List<String> evacuated)
       implements PeerMessage {}
 
   /**
--- a/server/src/main/java/org/clementinequay/server/peer/TcpPeerNetwork.java
+++ b/server/src/main/java/org/clementinequay/server/peer/TcpPeerNetwork.java
@@ -82,7 +82,7 @@
   private final Object linkChangeLock = new Object();
   private final PeerLink.Owner owner = new LinkOwner();
   private volatile List<HostEntry> targets = List.of();
-  private volatile int listedHosts;
+  private volatile Set<String> listedHosts = Set.of();
   private boolean hostListRepeated;
 
   private TcpPeerNetwork(Builder builder) throws IOException {
@@ -175,6 +175,13 @@
 
   /** Returns the number of entry hosts on the last host list; 0 if none could be read yet. */
   public int listedHosts() {
+    return listedHosts.size();
+  }
+
+  /**
+   * Returns the names of the entry hosts on the last host list; empty if none could be read yet.
+   */
+  public Set<String> listedHostNames() {
     return listedHosts;
   }
 
@@ -308,7 +315,7 @@
   private List<HostEntry> selectTargets(List<HostEntry> hosts) {
     List<HostEntry> candidates =
         hosts.stream().filter(h -> h.role().equals(ENTRY_ROLE) && !h.leaving()).toList();
-    listedHosts = candidates.size();
+    listedHosts = names(candidates);
     List<Member> members = candidates.stream().map(h -> new Member(h.name(), h.domain())).toList();
     Set<Member> selected =
         new LinkTopology(members).targets(new Member(self.host(), self.domain()));
--- a/server/src/test/java/org/clementinequay/server/gateway/GatewayFixture.java
+++ b/server/src/test/java/org/clementinequay/server/gateway/GatewayFixture.java
@@ -11,7 +11,9 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.function.UnaryOperator;
 import org.clementinequay.core.dispatch.RetryWindow;
 import org.clementinequay.core.forward.CallerLimits;
 import org.clementinequay.core.forward.EngineProfile;
@@ -40,6 +42,7 @@
   private final List<RequestForwarder> forwarders = new ArrayList<>();
   final Gateway gateway;
   List<PromptPart> promptParts = List.of();
+  Set<String> allowedRegions = Set.of();
   long deadlineMillis = 5000;
   OptionalLong lastEventId = OptionalLong.empty();
   boolean finishedCallbackRun;
@@ -50,8 +53,13 @@
 
   /** Creates a gateway; without a sender, attempts are recorded in {@link #sent}. */
   GatewayFixture(UpstreamSender sender) {
+    this(sender, builder -> builder);
+  }
+
+  GatewayFixture(UpstreamSender sender, UnaryOperator<Gateway.Builder> options) {
     gateway =
-        Gateway.builder()
+        options
+            .apply(Gateway.builder())
             .host("h1", "d")
             .clock(clock)
             .protocol(new Protocol())
@@ -73,7 +81,7 @@
         new ForwardingConfiguration(
             1,
             new RouteTable(List.of()),
-            List.of(new ServiceProfile("s", 10, Optional.of(engine))),
+            List.of(new ServiceProfile("s", 10, Duration.ofSeconds(3), 10, Optional.of(engine))),
             Optional.empty(),
             new CallerLimits(1000, 1000, 1000, 1000)));
     gateway.updateInstances(List.of(instance("a"), instance("b"), instance("c")));
@@ -117,6 +125,7 @@
             .maxAttempts(3)
             .targets(List.of(new Route.WeightedTarget("s", 1)))
             .modelsBySize(modelsBySize)
+            .allowedRegions(allowedRegions)
             .build();
     GatewayRequest request =
         new GatewayRequest(
--- a/server/src/test/java/org/clementinequay/server/gateway/StoreRelayTest.java
+++ b/server/src/test/java/org/clementinequay/server/gateway/StoreRelayTest.java
@@ -6,16 +6,21 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.NavigableMap;
 import java.util.Optional;
 import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.TreeMap;
 import java.util.function.BooleanSupplier;
 import java.util.function.Predicate;
 import org.clementinequay.core.Incarnation;
+import org.clementinequay.core.evacuation.Evacuation;
+import org.clementinequay.core.evacuation.EvacuationReading;
 import org.clementinequay.core.forward.CallerLimits;
 import org.clementinequay.core.forward.ForwardingConfiguration;
 import org.clementinequay.core.forward.RouteTable;
@@ -50,6 +55,8 @@
     private final SplittableRandom random = new SplittableRandom(5);
     private final Set<String> refused = new HashSet<>();
     private final Map<String, UpstreamInstance> upstreams = new LinkedHashMap<>();
+    private final List<Evacuation> evacuations = new ArrayList<>();
+    private final NavigableMap<Long, String> takenBack = new TreeMap<>();
     private final List<Delivery> deliveries = new ArrayList<>();
     private final StoreReadTimings timings;
     private long revision = 1;
@@ -83,6 +90,26 @@
       revision++;
     }
 
+    private void evacuate(String domain) {
+      operatorRevision = ++revision;
+      evacuations.add(new Evacuation(domain, revision));
+    }
+
+    private void takeBack(String domain) {
+      evacuations.removeIf(evacuation -> evacuation.domain().equals(domain));
+      takenBack.put(++revision, domain);
+    }
+
+    private EvacuationReading evacuationsSince(long cursor) {
+      return new EvacuationReading(
+          List.of(), List.copyOf(takenBack.tailMap(cursor + 1).values()), false);
+    }
+
+    private boolean allKnow(String... domains) {
+      return served().stream()
+          .allMatch(host -> host.gateway.evacuated.names().equals(List.of(domains)));
+    }
+
     private void changeConfiguration() {
       operatorRevision = ++revision;
     }
@@ -116,6 +143,10 @@
       due.forEach(delivery -> delivery.to().receive(delivery.from(), delivery.message()));
     }
 
+    private void restart(String name) {
+      hosts.put(name, new Host(this, name, hosts.get(name).domain));
+    }
+
     private List<Host> active() {
       return hosts.values().stream().filter(host -> !host.frozen).toList();
     }
@@ -264,6 +295,7 @@
                   Optional.empty(),
                   new CallerLimits(1000, 1000, 1000, 1000))),
           List.of(),
+          new EvacuationReading(cluster.evacuations, List.of(), true),
           cluster.revision,
           cluster.operatorRevision,
           cluster.storeMillis());
@@ -278,7 +310,12 @@
       }
       call();
       return new OperatorState(
-          Optional.empty(), List.of(), cluster.revision, 0, cluster.storeMillis());
+          Optional.empty(),
+          List.of(),
+          cluster.evacuationsSince(cursor),
+          cluster.revision,
+          0,
+          cluster.storeMillis());
     }
 
     @Override
@@ -432,4 +469,68 @@
       assertTrue(cluster.calls <= 10 * Calls.MAX_CALLS_PER_SECOND, cluster.calls + " calls");
     }
   }
+
+  /** Time until every host that the store serves knows of an evacuation, and of its end. */
+  public static class Evacuations {
+    private static final long EVACUATION_MILLIS = 5000;
+    private Cluster cluster;
+
+    private enum Trouble {
+      NONE {
+        @Override
+        void begin(Cluster cluster) {}
+      },
+      READERS_FROZEN {
+        @Override
+        void begin(Cluster cluster) {
+          cluster.readers().forEach(host -> host.frozen = true);
+        }
+      },
+      READERS_REFUSED {
+        @Override
+        void begin(Cluster cluster) {
+          cluster.readers().forEach(host -> cluster.refused.add(host.name));
+        }
+      },
+      READERS_RESTARTED {
+        @Override
+        void begin(Cluster cluster) {
+          cluster.readers().forEach(host -> cluster.restart(host.name));
+        }
+      };
+
+      abstract void begin(Cluster cluster);
+    }
+
+    @BeforeMethod
+    public void start() {
+      cluster = new Cluster(81, 4);
+      cluster.run(10_000);
+    }
+
+    @DataProvider
+    public Object[][] troubles() {
+      return Arrays.stream(Trouble.values()).map(t -> new Object[] {t}).toArray(Object[][]::new);
+    }
+
+    @Test(dataProvider = "troubles")
+    public void areKnownInTime(Trouble trouble) {
+      cluster.evacuate("domain-1");
+      trouble.begin(cluster);
+      long begun = cluster.runUntil(() -> cluster.allKnow("domain-1"), 10_000);
+      assertTrue(begun < EVACUATION_MILLIS, "known after " + begun + " ms");
+    }
+
+    // Guards against a removed row that leaves no revision: a reader that has just started cannot
+    // tell its peers by a revision that there is something to read.
+    @Test(dataProvider = "troubles")
+    public void endIsKnownInTime(Trouble trouble) {
+      cluster.evacuate("domain-1");
+      cluster.run(10_000);
+      cluster.takeBack("domain-1");
+      trouble.begin(cluster);
+      long ended = cluster.runUntil(() -> cluster.allKnow(), 10_000);
+      assertTrue(ended < EVACUATION_MILLIS, "known after " + ended + " ms");
+    }
+  }
 }
--- a/server/src/test/java/org/clementinequay/server/peer/FrameCodecTest.java
+++ b/server/src/test/java/org/clementinequay/server/peer/FrameCodecTest.java
@@ -24,7 +24,7 @@
             List.of(new PeerMessage.PromptPartName("s", "first")),
             List.of(new PeerMessage.QuarantinedPart("s", "bad", 60_000)))
       },
-      {new PeerMessage.OperatorReading(7, 12_345)},
+      {new PeerMessage.OperatorReading(7, 12_345, List.of("a"))},
       {
         new PeerMessage.UpstreamReading(
             new UpstreamListing.Update(9, 1, 2, List.of(), List.of("u")), 12_345)
