Keep sessions on the old version that ran there at another host

Cause: a host knows only the sessions that it served itself.

Change: a host holds the sessions whose hash belongs to the new version and that it saw on the old one, at the order or later, and tells the hosts of its domain in ShiftNews. For 2.5 s after the order an unknown session stays on the old version and is held too.

Ruled out: unknown sessions on the old version for the idle time alone: those that begin in that time change at other hosts when it is over.

--- a/core/src/main/java/org/clementinequay/core/rollout/TrafficShift.java
+++ b/core/src/main/java/org/clementinequay/core/rollout/TrafficShift.java
@@ -1,6 +1,8 @@
 package org.clementinequay.core.rollout;
 
+import java.util.Collection;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
@@ -26,6 +28,12 @@
   /** Fraction of the order's duration before which no existing session changes its version. */
   static final double SESSION_MOVE_FRACTION = 0.5;
 
+  /**
+   * Time after the order for which a session that is unknown stays on the old version, in ms: it
+   * may have begun at another host, whose message about it is on its way.
+   */
+  static final long UNKNOWN_SESSION_HOLD_MILLIS = 2500;
+
   /**
    * Fractions of the order's duration from which on the second stage, if there are enough answers,
    * and the last stage begin.
@@ -81,6 +89,7 @@
   private final ShiftOrder order;
   private final long knownSinceNanos;
   private final Map<String, Evidence> bySource = new HashMap<>();
+  private final HeldSessions held = new HeldSessions();
   private long startedNanos;
   private ShiftState state = ShiftState.ACTIVE;
   private boolean provedWorse;
@@ -329,6 +338,57 @@
     return hashToUnitInterval(session) < share;
   }
 
+  /**
+   * Returns whether a request of a session goes to the new version, as {@link #routesToTarget} does
+   * for requests without one; in the first half, sessions that may have run on the old version at
+   * another host stay there.
+   */
+  public synchronized boolean routesSessionToTarget(
+      String session, Optional<String> lastVersion, long nowNanos) {
+    return !holdsSession(session, lastVersion, nowNanos)
+        && routesToTarget(session, lastVersion, nowNanos);
+  }
+
+  private boolean holdsSession(String session, Optional<String> lastVersion, long nowNanos) {
+    if (!isHoldable(session, nowNanos) || lastVersion.equals(Optional.of(order.target()))) {
+      return false;
+    }
+    if (lastVersion.isPresent() || holdsUnknownSessions(nowNanos)) {
+      held.hold(session);
+    }
+    return held.contains(session);
+  }
+
+  /** Returns whether a session that this host does not know stays on the old version for now. */
+  public synchronized boolean holdsUnknownSessions(long nowNanos) {
+    return elapsedMillis(nowNanos) < UNKNOWN_SESSION_HOLD_MILLIS;
+  }
+
+  /** Records that a session was in progress on an old version when this host saw the order. */
+  public synchronized void recordOldSession(String session, long nowNanos) {
+    if (isHoldable(session, nowNanos)) {
+      held.hold(session);
+    }
+  }
+
+  /** Returns the sessions that this host knows to belong to the old version for now. */
+  public synchronized List<String> heldSessions(long nowNanos) {
+    return isBeforeSessionMove(nowNanos) ? held.own() : List.of();
+  }
+
+  /** Adds sessions that a peer holds on the old version. */
+  public synchronized void mergeHeldSessions(Collection<String> sessions) {
+    held.mergePeers(sessions);
+  }
+
+  private boolean isHoldable(String session, long nowNanos) {
+    return isBeforeSessionMove(nowNanos) && hashToUnitInterval(session) < FIRST_STAGE_SHARE;
+  }
+
+  private boolean isBeforeSessionMove(long nowNanos) {
+    return elapsedFraction(nowNanos) < SESSION_MOVE_FRACTION;
+  }
+
   /**
    * Returns a pseudo-random number in [0, 1) that depends only on the session and the order's
    * revision.
--- a/core/src/main/java/org/clementinequay/core/session/SessionVersions.java
+++ b/core/src/main/java/org/clementinequay/core/session/SessionVersions.java
@@ -1,6 +1,7 @@
 package org.clementinequay.core.session;
 
 import java.time.Duration;
+import java.util.HashMap;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.Map;
@@ -42,6 +43,18 @@
     }
   }
 
+  /** Returns the version of each session that has not ended. */
+  public synchronized Map<String, String> inProgress(long nowNanos) {
+    Map<String, String> result = new HashMap<>();
+    sessions.forEach(
+        (session, use) -> {
+          if (nowNanos - use.usedNanos() <= idleNanos) {
+            result.put(session, use.version());
+          }
+        });
+    return result;
+  }
+
   /** Returns the version of a session; empty if it is unknown or has ended. */
   public synchronized Optional<String> version(String session, long nowNanos) {
     LastUse use = sessions.get(session);
--- a/server/src/main/java/org/clementinequay/server/gateway/AttemptPlacement.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/AttemptPlacement.java
@@ -153,8 +153,11 @@
   private boolean routesToTarget(TrafficShift shift) {
     long now = gateway.clock.nanoTime();
     Optional<String> lastVersion = request.session().flatMap(s -> gateway.sessions.version(s, now));
-    String id = request.session().or(request::id).orElse("");
-    boolean target = shift.routesToTarget(id, lastVersion, now);
+    boolean target =
+        request
+            .session()
+            .map(session -> shift.routesSessionToTarget(session, lastVersion, now))
+            .orElseGet(() -> shift.routesToTarget(request.id().orElse(""), lastVersion, now));
     boolean sessionOnTarget =
         lastVersion.isPresent() && lastVersion.get().equals(shift.order().target());
     return target && (!failedOnTarget || sessionOnTarget || shift.share(now) >= 1);
--- a/server/src/main/java/org/clementinequay/server/gateway/Gateway.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/Gateway.java
@@ -353,10 +353,24 @@
               order.duration().toMillis(),
               "revision",
               order.revision());
-          return new TrafficShift(order, clock.nanoTime());
+          return newShift(order);
         });
   }
 
+  private TrafficShift newShift(ShiftOrder order) {
+    long now = clock.nanoTime();
+    TrafficShift shift = new TrafficShift(order, now);
+    sessions
+        .inProgress(now)
+        .forEach(
+            (session, version) -> {
+              if (!version.equals(order.target())) {
+                shift.recordOldSession(session, now);
+              }
+            });
+    return shift;
+  }
+
   /** Counts a request towards the retry budget of its service. */
   void recordRequest(String service) {
     retryBudget(service).recordRequest(clock.nanoTime());
--- a/server/src/main/java/org/clementinequay/server/gateway/ShiftGossip.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/ShiftGossip.java
@@ -16,7 +16,8 @@
  * share; together the hosts see enough. A host sends its own counts to the hosts of its failure
  * domain, and to its peers in other domains the sum over its domain, so that the size of a message
  * does not grow with the number of hosts. Of several sums of a domain the one with the most answers
- * counts.
+ * counts. Within the domain, to which the callers of a session mostly keep, hosts also tell each
+ * other which sessions they hold on the old version.
  */
 final class ShiftGossip implements PeerNetwork.Listener {
   /** Marks a source that is a failure domain and not a host. */
@@ -32,6 +33,7 @@
     private final EvidencePacer pacer = new EvidencePacer();
     private TrafficShift.Evidence own = TrafficShift.Evidence.empty();
     private TrafficShift.Evidence ofDomain = TrafficShift.Evidence.empty();
+    private List<String> heldSessions = List.of();
     private String stopReason = "";
     private boolean lastStage;
 
@@ -64,6 +66,8 @@
       if (newDecision || sent.pacer.isDue(nowNanos)) {
         sent.lastStage = lastStage;
         sendRound(shift, sent, newDecision, nowNanos);
+      } else {
+        sendHeldSessions(shift, sent, nowNanos);
       }
     }
   }
@@ -77,13 +81,19 @@
     TrafficShift.Evidence newOwn = own.since(sent.pacer.isFullRound() ? none : sent.own);
     TrafficShift.Evidence newOfDomain =
         ofDomain.since(sent.pacer.isFullRound() ? none : sent.ofDomain);
+    // Hosts that do not know the order yet drop what is sent in the first rounds.
+    boolean allHeld = sent.pacer.isFullRound() || shift.holdsUnknownSessions(nowNanos);
+    List<String> newHeld = takeHeldSessions(shift, sent, allHeld, nowNanos);
     long bytes = 0;
-    if (always || !newOwn.isEmpty()) {
-      bytes += links.broadcast(encode(shift, gateway.hostName, newOwn, nowNanos), this::isNear);
+    if (always || !newOwn.isEmpty() || !newHeld.isEmpty()) {
+      bytes +=
+          links.broadcast(encode(shift, gateway.hostName, newOwn, newHeld, nowNanos), this::isNear);
     }
     if (always || !newOfDomain.isEmpty()) {
       String source = DOMAIN_PREFIX + gateway.domain;
-      bytes += links.broadcast(encode(shift, source, newOfDomain, nowNanos), peer -> !isNear(peer));
+      bytes +=
+          links.broadcast(
+              encode(shift, source, newOfDomain, List.of(), nowNanos), peer -> !isNear(peer));
     }
     sent.own = own;
     sent.ofDomain = ofDomain;
@@ -91,12 +101,36 @@
     sent.pacer.recordRound(nowNanos, bytes);
   }
 
+  /** Sends new sessions at once, because their next requests may come to other hosts. */
+  private void sendHeldSessions(TrafficShift shift, SentEvidence sent, long nowNanos) {
+    List<String> newHeld = takeHeldSessions(shift, sent, false, nowNanos);
+    if (!newHeld.isEmpty()) {
+      TrafficShift.Evidence none = TrafficShift.Evidence.empty();
+      links.broadcast(encode(shift, gateway.hostName, none, newHeld, nowNanos), this::isNear);
+    }
+  }
+
+  private static List<String> takeHeldSessions(
+      TrafficShift shift, SentEvidence sent, boolean all, long nowNanos) {
+    List<String> held = shift.heldSessions(nowNanos);
+    List<String> result = new ArrayList<>(held);
+    if (!all) {
+      result.removeAll(sent.heldSessions);
+    }
+    sent.heldSessions = held;
+    return result;
+  }
+
   private boolean isNear(PeerNetwork.Peer peer) {
     return peer.domain().equals(gateway.domain);
   }
 
   private static PeerMessage.ShiftNews encode(
-      TrafficShift shift, String source, TrafficShift.Evidence evidence, long nowNanos) {
+      TrafficShift shift,
+      String source,
+      TrafficShift.Evidence evidence,
+      List<String> heldSessions,
+      long nowNanos) {
     List<PeerMessage.ShiftCount> counts = new ArrayList<>();
     addCounts(counts, source, true, evidence.target());
     addCounts(counts, source, false, evidence.others());
@@ -106,7 +140,8 @@
         shift.ageMillis(nowNanos),
         shift.reason(),
         shift.inLastStage(nowNanos),
-        counts);
+        counts,
+        heldSessions);
   }
 
   private static void addCounts(
@@ -144,6 +179,9 @@
       }
     }
     shift.mergeEvidence(source, evidence);
+    if (news.heldSessions() != null) {
+      shift.mergeHeldSessions(news.heldSessions());
+    }
     shift.moveStartTo(gateway.clock.nanoTime() - news.ageMillis() * 1_000_000);
     if (news.lastStage()) {
       shift.recordPeerLastStage(gateway.clock.nanoTime());
--- a/server/src/test/java/org/clementinequay/server/gateway/ShiftGossipTest.java
+++ b/server/src/test/java/org/clementinequay/server/gateway/ShiftGossipTest.java
@@ -6,6 +6,7 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -66,7 +67,7 @@
     private final Member self;
     private final Set<String> linked;
     private final Gateway gateway;
-    private final TrafficShift shift;
+    private TrafficShift shift;
     private final ShiftGossip gossip;
     private long sentBytes;
 
@@ -222,4 +223,87 @@
       assertEquals(sum.others().values().stream().mapToLong(c -> c.answers()).sum(), 500);
     }
   }
+
+  /** Sessions that continue at other hosts of their failure domain. */
+  public static class Sessions {
+    private static final ShiftOrder SECOND_ORDER =
+        new ShiftOrder("engines", "v3", Duration.ofSeconds(24), 8);
+
+    /** Shorter than the idle time of a session, which is 5 s. */
+    private static final int MAX_PAUSE_MILLIS = 4000;
+
+    private static final int SESSIONS_OF_A_DOMAIN = 400;
+
+    /** Time between the first and the last host that learns of the order. */
+    private static final int LEARN_MILLIS = 600;
+
+    private final SplittableRandom random = new SplittableRandom(3);
+
+    /** A caller's session; it lasts until its end and is then followed by another one. */
+    private static final class Session {
+      private String id;
+      private String version = "";
+      private long nextMillis;
+      private long endMillis;
+    }
+
+    @DataProvider
+    public Object[][] sizes() {
+      return new Object[][] {{9, 3}, {88, 3}};
+    }
+
+    // Replays sessions of which a host knows only the requests that it served itself.
+    @Test(dataProvider = "sizes")
+    public void noSessionChangesItsVersionInTheFirstHalf(int hostCount, int domainCount) {
+      Cluster cluster = new Cluster(hostCount, domainCount);
+      List<Session> sessions = new ArrayList<>();
+      for (int i = 0; i < domainCount * SESSIONS_OF_A_DOMAIN; i++) {
+        sessions.add(new Session());
+      }
+      List<Host> hosts = List.copyOf(cluster.hosts.values());
+      Map<Host, Long> learnedMillis = new LinkedHashMap<>();
+      hosts.forEach(host -> learnedMillis.put(host, 6000L + random.nextInt(LEARN_MILLIS)));
+      int changes = 0;
+      int onTarget = 0;
+      for (long now = 0; now < 6000 + SECOND_ORDER.duration().toMillis() / 2; now += STEP_MILLIS) {
+        for (Host host : hosts) {
+          if (now >= learnedMillis.get(host)) {
+            host.shift = host.gateway.applyOrder(SECOND_ORDER);
+          }
+        }
+        for (int i = 0; i < sessions.size(); i++) {
+          Session session = sessions.get(i);
+          if (session.nextMillis > now) {
+            continue;
+          }
+          boolean begins = session.endMillis <= now;
+          if (begins) {
+            session.id = "session-" + i + "-" + now;
+            session.endMillis = now + 2000 + random.nextInt(20_000);
+          }
+          session.nextMillis = now + 200 + random.nextInt(MAX_PAUSE_MILLIS - 200);
+          int domain = i % domainCount;
+          Host host = hosts.get(domain + domainCount * random.nextInt(hostCount / domainCount));
+          String version = serve(host, session.id);
+          changes += !begins && !version.equals(session.version) ? 1 : 0;
+          onTarget += version.equals("v3") ? 1 : 0;
+          session.version = version;
+        }
+        cluster.step();
+      }
+      assertEquals(changes, 0);
+      assertTrue(onTarget > 50, "evidence needs requests on the new version: " + onTarget);
+    }
+
+    private String serve(Host host, String session) {
+      long now = host.cluster.clock.nanoTime();
+      boolean target =
+          host.shift.order().equals(SECOND_ORDER)
+              && host.shift.routesSessionToTarget(
+                  session, host.gateway.sessions.version(session, now), now);
+      String version = target ? "v3" : "v1";
+      host.gateway.sessions.recordUse(session, version, now);
+      return version;
+    }
+  }
 }
