Learn of evacuations from what peers have read

Cause: a host that the store turns away learned of an evacuation only when it could read again, and a removed row made every host of a domain read.

Change: a host applies the evacuated domains that a peer has read, in the order of the store's clock; an older reading changes nothing.

--- a/core/src/main/java/org/clementinequay/core/evacuation/EvacuatedDomains.java
+++ b/core/src/main/java/org/clementinequay/core/evacuation/EvacuatedDomains.java
@@ -12,13 +12,14 @@
  * Failure domains whose upstreams get no new requests, because an operator empties them. It answers
  * maintenance of a whole domain under full load: an order is in force with the reading that shows
  * it, and a removed one ends with the reading that lacks it or says so. The state is a set that
- * only the store changes, so that hosts agree as soon as they have read the same revision, and a
- * host that is cut off from the store goes on with what it knew. Thread-safe.
+ * only readings of the store change, own ones or those of peers, ordered by the store's clock; so
+ * hosts agree, and one that is cut off goes on with what it knew. Thread-safe.
  */
 public final class EvacuatedDomains {
-  private Map<String, Since> domains = Map.of();
+  /** Time at which this host learned of the order, by the domain. */
+  private Map<String, Long> sinceNanos = Map.of();
 
-  private record Since(long revision, long nanos) {}
+  private long storeMillis;
 
   /**
    * Differences between a reading and the one before it.
@@ -33,18 +34,25 @@
     }
   }
 
-  /** Applies a reading of the store and returns what changed. */
-  public synchronized Changes apply(EvacuationReading reading, long nowNanos) {
-    Map<String, Since> next = reading.complete() ? new HashMap<>() : new HashMap<>(domains);
-    reading.takenBack().forEach(next::remove);
-    for (Evacuation order : reading.ordered()) {
-      Since known = domains.get(order.domain());
-      next.put(order.domain(), known == null ? new Since(order.revision(), nowNanos) : known);
+  /**
+   * Applies a reading of the store by this host or a peer, unless it is older than one before, and
+   * returns what changed.
+   *
+   * @param readMillis time of the reading by the store's clock, in milliseconds; 0 if unknown
+   */
+  public synchronized Changes apply(EvacuationReading reading, long readMillis, long nowNanos) {
+    if (readMillis > 0 && readMillis < storeMillis) {
+      return new Changes(List.of(), List.of());
     }
+    storeMillis = Math.max(storeMillis, readMillis);
+    Map<String, Long> next = reading.complete() ? new HashMap<>() : new HashMap<>(sinceNanos);
+    reading.takenBack().forEach(next::remove);
+    reading.ordered().forEach(name -> next.put(name, sinceNanos.getOrDefault(name, nowNanos)));
     Changes changes =
         new Changes(
-            missing(next.keySet(), domains.keySet()), missing(domains.keySet(), next.keySet()));
-    domains = Map.copyOf(next);
+            missing(next.keySet(), sinceNanos.keySet()),
+            missing(sinceNanos.keySet(), next.keySet()));
+    sinceNanos = Map.copyOf(next);
     return changes;
   }
 
@@ -56,19 +64,19 @@
 
   /** Returns whether the upstreams of a domain get no new requests. */
   public synchronized boolean contains(String domain) {
-    return domains.containsKey(domain);
+    return sinceNanos.containsKey(domain);
   }
 
   /** Returns the names of the evacuated domains in their natural order. */
   public synchronized List<String> names() {
-    return List.copyOf(new TreeSet<>(domains.keySet()));
+    return List.copyOf(new TreeSet<>(sinceNanos.keySet()));
   }
 
   /**
    * Returns for how long this host has known that a domain is evacuated, in ms; -1 if it is not.
    */
   public synchronized long ageMillis(String domain, long nowNanos) {
-    Since since = domains.get(domain);
-    return since == null ? -1 : (nowNanos - since.nanos()) / 1_000_000;
+    Long since = sinceNanos.get(domain);
+    return since == null ? -1 : (nowNanos - since) / 1_000_000;
   }
 }
--- a/core/src/main/java/org/clementinequay/core/evacuation/EvacuationReading.java
+++ b/core/src/main/java/org/clementinequay/core/evacuation/EvacuationReading.java
@@ -5,12 +5,11 @@
 /**
  * What a reading of the store says about evacuations.
  *
- * @param ordered orders in the reading
+ * @param ordered failure domains for which there is an order in the reading
  * @param takenBack failure domains whose order was removed since the reading before
  * @param complete whether the reading holds all orders, so that missing ones were taken back
  */
-public record EvacuationReading(
-    List<Evacuation> ordered, List<String> takenBack, boolean complete) {
+public record EvacuationReading(List<String> ordered, List<String> takenBack, boolean complete) {
   /** Reading without a change. */
   public static final EvacuationReading UNCHANGED =
       new EvacuationReading(List.of(), List.of(), false);
--- a/core/src/test/java/org/clementinequay/core/evacuation/EvacuatedDomainsTest.java
+++ b/core/src/test/java/org/clementinequay/core/evacuation/EvacuatedDomainsTest.java
@@ -11,15 +11,11 @@
 /** Guards against domains that stay evacuated, or get requests although they are. */
 public class EvacuatedDomainsTest {
   private static EvacuationReading all(String... domains) {
-    return new EvacuationReading(orders(domains), List.of(), true);
+    return new EvacuationReading(List.of(domains), List.of(), true);
   }
 
   private static EvacuationReading change(List<String> takenBack, String... domains) {
-    return new EvacuationReading(orders(domains), takenBack, false);
-  }
-
-  private static List<Evacuation> orders(String... domains) {
-    return List.of(domains).stream().map(domain -> new Evacuation(domain, 1)).toList();
+    return new EvacuationReading(List.of(domains), takenBack, false);
   }
 
   @DataProvider
@@ -40,7 +36,7 @@
   @Test(dataProvider = "readings")
   public void lastReadingCounts(List<EvacuationReading> readings, List<String> expected) {
     EvacuatedDomains domains = new EvacuatedDomains();
-    readings.forEach(reading -> domains.apply(reading, 0));
+    readings.forEach(reading -> domains.apply(reading, 0, 0));
     assertEquals(domains.names(), expected);
     expected.forEach(domain -> assertTrue(domains.contains(domain)));
   }
@@ -48,13 +44,23 @@
   @Test
   public void changesAreToldOnce() {
     EvacuatedDomains domains = new EvacuatedDomains();
-    assertEquals(domains.apply(all("a"), 0).evacuated(), List.of("a"));
-    assertTrue(domains.apply(all("a"), 5_000_000).isEmpty());
+    assertEquals(domains.apply(all("a"), 0, 0).evacuated(), List.of("a"));
+    assertTrue(domains.apply(all("a"), 0, 5_000_000).isEmpty());
     assertEquals(domains.ageMillis("a", 7_000_000), 7);
-    assertEquals(domains.apply(all(), 0).takenBack(), List.of("a"));
+    assertEquals(domains.apply(all(), 0, 0).takenBack(), List.of("a"));
     assertEquals(domains.ageMillis("a", 0), -1);
   }
 
+  // Readings of peers arrive late, and after own ones.
+  @Test
+  public void olderReadingChangesNothing() {
+    EvacuatedDomains domains = new EvacuatedDomains();
+    domains.apply(all("a"), 500, 0);
+    assertTrue(domains.apply(all(), 499, 0).isEmpty());
+    assertEquals(domains.apply(all("b"), 501, 0).takenBack(), List.of("a"));
+    assertEquals(domains.names(), List.of("b"));
+  }
+
   @DataProvider
   public Object[][] regions() {
     return new Object[][] {
--- a/server/src/main/java/org/clementinequay/server/gateway/Gateway.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/Gateway.java
@@ -234,10 +234,12 @@
    * Applies what a reading says about evacuations. Upstreams of a domain that is taken back may be
    * cold without their entries telling it yet.
    *
+   * @param storeMillis time of the reading by the store's clock, in milliseconds; 0 if unknown
    * @param learnedBy kind of the reading, for the log
    */
-  synchronized void applyEvacuations(EvacuationReading reading, String learnedBy) {
-    EvacuatedDomains.Changes changes = evacuated.apply(reading, clock.nanoTime());
+  synchronized void applyEvacuations(
+      EvacuationReading reading, long storeMillis, String learnedBy) {
+    EvacuatedDomains.Changes changes = evacuated.apply(reading, storeMillis, clock.nanoTime());
     if (changes.isEmpty()) {
       return;
     }
--- a/server/src/main/java/org/clementinequay/server/gateway/OperatorChangeTask.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/OperatorChangeTask.java
@@ -1,6 +1,8 @@
 package org.clementinequay.server.gateway;
 
 import java.time.Duration;
+import java.util.List;
+import org.clementinequay.core.evacuation.EvacuationReading;
 import org.clementinequay.core.platform.HistoryLostException;
 import org.clementinequay.core.platform.PlatformException;
 import org.clementinequay.core.rollout.ShiftOrder;
@@ -68,7 +70,8 @@
       for (ShiftOrder order : state.orders()) {
         gateway.applyOrder(order);
       }
-      gateway.applyEvacuations(state.evacuations(), cursor < 0 ? "all rows" : "a change");
+      gateway.applyEvacuations(
+          state.evacuations(), state.storeMillis(), cursor < 0 ? "all rows" : "a change");
       cursor = state.cursor();
       newestChange = Math.max(newestChange, state.newestChange());
       schedule.recordRead(storeClock.toHostNanos(state.storeMillis(), gateway.clock.nanoTime()));
@@ -90,6 +93,7 @@
   @Override
   public void received(PeerNetwork.Peer from, PeerMessage message) {
     if (message instanceof PeerMessage.OperatorReading reading && role.isNear(from)) {
+      applyEvacuations(from, reading);
       if (reading.newestChange() > newestChange || differsInEvacuations(reading)) {
         schedule.recordBehind();
       } else if (reading.newestChange() == newestChange) {
@@ -99,7 +103,22 @@
     }
   }
 
+  /** Applies the evacuations that a peer has read, so that the store need not serve this host. */
+  private void applyEvacuations(PeerNetwork.Peer from, PeerMessage.OperatorReading reading) {
+    if (reading.evacuated() != null && reading.storeMillis() > 0) {
+      gateway.applyEvacuations(
+          new EvacuationReading(reading.evacuated(), List.of(), true),
+          reading.storeMillis(),
+          "by " + from.host());
+    }
+  }
+
+  /**
+   * Returns whether a reading of unknown time has other evacuations, so that this host must read.
+   */
   private boolean differsInEvacuations(PeerMessage.OperatorReading reading) {
-    return reading.evacuated() != null && !reading.evacuated().equals(gateway.evacuated.names());
+    return reading.evacuated() != null
+        && reading.storeMillis() <= 0
+        && !reading.evacuated().equals(gateway.evacuated.names());
   }
 }
--- a/server/src/main/java/org/clementinequay/server/peer/PeerMessage.java
+++ b/server/src/main/java/org/clementinequay/server/peer/PeerMessage.java
@@ -144,8 +144,8 @@
    * revision.
    *
    * @param storeMillis time of the read by the store's clock, in milliseconds; 0 if unknown
-   * @param evacuated failure domains that are evacuated, because a removed order has no revision;
-   *     null from a host that does not know of evacuations
+   * @param evacuated failure domains that are evacuated; null from a host that does not know of
+   *     evacuations
    */
   record OperatorReading(
       @JsonProperty("n") long newestChange,
--- a/server/src/test/java/org/clementinequay/server/gateway/AcceptedUpstreamsTest.java
+++ b/server/src/test/java/org/clementinequay/server/gateway/AcceptedUpstreamsTest.java
@@ -14,7 +14,6 @@
 import java.util.Set;
 import org.clementinequay.core.coldstart.ColdStartBound;
 import org.clementinequay.core.coldstart.ColdStartLimiter;
-import org.clementinequay.core.evacuation.Evacuation;
 import org.clementinequay.core.evacuation.EvacuationReading;
 import org.clementinequay.core.forward.RequestKind;
 import org.clementinequay.core.forward.UpstreamInstance;
@@ -30,9 +29,7 @@
   }
 
   private static void evacuate(Gateway gateway, String... domains) {
-    List<Evacuation> orders =
-        List.of(domains).stream().map(domain -> new Evacuation(domain, 1)).toList();
-    gateway.applyEvacuations(new EvacuationReading(orders, List.of(), true), "test");
+    gateway.applyEvacuations(new EvacuationReading(List.of(domains), List.of(), true), 0, "test");
   }
 
   private static String upstream(GatewayFixture fixture) {
--- a/server/src/test/java/org/clementinequay/server/gateway/StoreRelayTest.java
+++ b/server/src/test/java/org/clementinequay/server/gateway/StoreRelayTest.java
@@ -19,7 +19,6 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.Predicate;
 import org.clementinequay.core.Incarnation;
-import org.clementinequay.core.evacuation.Evacuation;
 import org.clementinequay.core.evacuation.EvacuationReading;
 import org.clementinequay.core.forward.CallerLimits;
 import org.clementinequay.core.forward.ForwardingConfiguration;
@@ -55,7 +54,7 @@
     private final SplittableRandom random = new SplittableRandom(5);
     private final Set<String> refused = new HashSet<>();
     private final Map<String, UpstreamInstance> upstreams = new LinkedHashMap<>();
-    private final List<Evacuation> evacuations = new ArrayList<>();
+    private final List<String> evacuations = new ArrayList<>();
     private final NavigableMap<Long, String> takenBack = new TreeMap<>();
     private final List<Delivery> deliveries = new ArrayList<>();
     private final StoreReadTimings timings;
@@ -92,11 +91,11 @@
 
     private void evacuate(String domain) {
       operatorRevision = ++revision;
-      evacuations.add(new Evacuation(domain, revision));
+      evacuations.add(domain);
     }
 
     private void takeBack(String domain) {
-      evacuations.removeIf(evacuation -> evacuation.domain().equals(domain));
+      evacuations.remove(domain);
       takenBack.put(++revision, domain);
     }
 
@@ -106,7 +105,7 @@
     }
 
     private boolean allKnow(String... domains) {
-      return served().stream()
+      return active().stream()
           .allMatch(host -> host.gateway.evacuated.names().equals(List.of(domains)));
     }
 
@@ -470,7 +469,7 @@
     }
   }
 
-  /** Time until every host that the store serves knows of an evacuation, and of its end. */
+  /** Time until every host knows of an evacuation, and of its end. */
   public static class Evacuations {
     private static final long EVACUATION_MILLIS = 5000;
     private Cluster cluster;
@@ -492,6 +491,14 @@
           cluster.readers().forEach(host -> cluster.refused.add(host.name));
         }
       },
+      ALL_BUT_THE_READERS_REFUSED {
+        @Override
+        void begin(Cluster cluster) {
+          cluster.hosts.values().stream()
+              .filter(host -> !host.role.isReader())
+              .forEach(host -> cluster.refused.add(host.name));
+        }
+      },
       READERS_RESTARTED {
         @Override
         void begin(Cluster cluster) {
