--- a/core/src/main/java/org/clementinequay/core/evacuation/EvacuatedDomains.java
+++ b/core/src/main/java/org/clementinequay/core/evacuation/EvacuatedDomains.java
@@ -72,11 +72,11 @@
     return List.copyOf(new TreeSet<>(sinceNanos.keySet()));
   }
 
-  /**
-   * Returns for how long this host has known that a domain is evacuated, in ms; -1 if it is not.
-   */
-  public synchronized long ageMillis(String domain, long nowNanos) {
-    Long since = sinceNanos.get(domain);
-    return since == null ? -1 : (nowNanos - since) / 1_000_000;
+  /** Returns for how long this host has known of the oldest evacuation, in ms; 0 without one. */
+  public synchronized long longestMillis(long nowNanos) {
+    return sinceNanos.values().stream()
+        .mapToLong(since -> (nowNanos - since) / 1_000_000)
+        .max()
+        .orElse(0);
   }
 }
--- a/server/src/main/java/org/clementinequay/server/gateway/GatewayHost.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/GatewayHost.java
@@ -127,6 +127,9 @@
         "clementinequay_cold_start_held_back", () -> gateway.coldStarts.heldBack());
     metrics.registerGauge(
         "clementinequay_evacuated_domains", () -> gateway.evacuated.names().size());
+    metrics.registerGauge(
+        "clementinequay_longest_evacuation_seconds",
+        () -> gateway.evacuated.longestMillis(clock.nanoTime()) / 1e3);
     metrics.registerGauge(
         "clementinequay_quarantined_prompt_parts",
         () -> gateway.crashGuard.quarantinedParts().size());
