Forget hosts off the list, and keep hashes of held sessions

Cause: members were never forgotten, so hosts that were replaced would keep the slots at cold upstreams; ids of sessions come from callers and were kept and sent in full.

Result: ColdStartLimiterTest.slotsOfHostsThatLeftTheListComeBack.

--- a/core/src/main/java/org/clementinequay/core/coldstart/AdmittingHosts.java
+++ b/core/src/main/java/org/clementinequay/core/coldstart/AdmittingHosts.java
@@ -2,10 +2,9 @@
 
 import java.util.Collection;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
-import java.util.TreeSet;
+import java.util.TreeMap;
 import org.clementinequay.core.membership.RendezvousHash;
 
 /**
@@ -24,8 +23,14 @@
   /** Part of the members known before by which they may grow without being unsettled. */
   private static final int TOLERATED_GROWTH_DIVISOR = 4;
 
+  /** Time off the list after which a member is forgotten; two readings of the list, in ns. */
+  static final long FORGET_NANOS = 60_000_000_000L;
+
   private final String self;
-  private final Set<String> members = new TreeSet<>();
+
+  /** Time at which each member was last listed or linked, by its name. */
+  private final Map<String, Long> members = new TreeMap<>();
+
   private final Map<String, Integer> ranks = new HashMap<>();
   private boolean known;
   private long grownNanos;
@@ -34,21 +39,27 @@
     this.self = self;
   }
 
-  /** Adds members; none is removed, so that hosts which saw fewer of them agree sooner. */
-  void add(Collection<String> names, long nowNanos) {
-    Set<String> added = new HashSet<>(names);
-    if (!known) {
-      added.add(self);
+  /**
+   * Replaces the members by those that are listed now and those that were until a short time ago,
+   * so that hosts which read the list at different times agree, and slots of hosts that are gone
+   * come back.
+   */
+  void update(Collection<String> names, long nowNanos) {
+    if (names.isEmpty()) {
+      return;
     }
-    added.removeAll(members);
-    if (names.isEmpty() || added.isEmpty()) {
+    Set<String> before = Set.copyOf(members.keySet());
+    names.forEach(name -> members.put(name, nowNanos));
+    members.put(self, nowNanos);
+    members.values().removeIf(listed -> nowNanos - listed > FORGET_NANOS);
+    if (members.keySet().equals(before)) {
       return;
     }
-    if (!known || added.size() * TOLERATED_GROWTH_DIVISOR > members.size()) {
+    long added = members.keySet().stream().filter(name -> !before.contains(name)).count();
+    if (!known || added * TOLERATED_GROWTH_DIVISOR > before.size()) {
       grownNanos = nowNanos;
     }
     known = true;
-    members.addAll(added);
     ranks.clear();
   }
 
@@ -66,7 +77,9 @@
   private int rank(String upstream) {
     return ranks.computeIfAbsent(
         upstream,
-        u -> RendezvousHash.order("cold/" + u, members, name -> name, name -> 1.0).indexOf(self));
+        u ->
+            RendezvousHash.order("cold/" + u, members.keySet(), name -> name, name -> 1.0)
+                .indexOf(self));
   }
 
   void retain(Set<String> upstreams) {
--- a/core/src/main/java/org/clementinequay/core/coldstart/ColdStartLimiter.java
+++ b/core/src/main/java/org/clementinequay/core/coldstart/ColdStartLimiter.java
@@ -42,9 +42,9 @@
     this.bound = bound;
   }
 
-  /** Adds entry hosts of the deployment, as the platform lists them. */
-  public synchronized void addMembers(Collection<String> names, long nowNanos) {
-    hosts.add(names, nowNanos);
+  /** Records the entry hosts of the deployment, as the platform lists them now. */
+  public synchronized void updateMembers(Collection<String> names, long nowNanos) {
+    hosts.update(names, nowNanos);
   }
 
   /**
--- a/core/src/main/java/org/clementinequay/core/rollout/HeldSessions.java
+++ b/core/src/main/java/org/clementinequay/core/rollout/HeldSessions.java
@@ -9,23 +9,28 @@
  * Sessions that stay on the old version in the first half of a move although their hash belongs to
  * the new one, because they ran on the old version after the order or shortly before it. A session
  * that continues at another host is unknown there; so hosts tell each other which ones they hold.
- * Not thread-safe.
+ * Callers choose the ids, so only hashes of 64 bits are kept and sent (FNV-1a); two ids with the
+ * same hash would both stay on the old version. Not thread-safe.
  */
 final class HeldSessions {
   /** Most sessions that are held; those whose hash belongs to the new version are few. */
   private static final int MAX_SESSIONS = 4096;
 
-  private final Set<String> own = new LinkedHashSet<>();
-  private final Set<String> ofPeers = new LinkedHashSet<>();
+  private static final long FNV_OFFSET = 0xcbf29ce484222325L;
+  private static final long FNV_PRIME = 0x100000001b3L;
+
+  private final Set<Long> own = new LinkedHashSet<>();
+  private final Set<Long> ofPeers = new LinkedHashSet<>();
 
   void hold(String session) {
-    if (own.size() < MAX_SESSIONS && !ofPeers.contains(session)) {
-      own.add(session);
+    long hash = hash(session);
+    if (own.size() < MAX_SESSIONS && !ofPeers.contains(hash)) {
+      own.add(hash);
     }
   }
 
-  void mergePeers(Collection<String> sessions) {
-    for (String session : sessions) {
+  void mergePeers(Collection<Long> sessions) {
+    for (Long session : sessions) {
       if (ofPeers.size() < MAX_SESSIONS) {
         ofPeers.add(session);
       }
@@ -33,11 +38,20 @@
   }
 
   boolean contains(String session) {
-    return own.contains(session) || ofPeers.contains(session);
+    long hash = hash(session);
+    return own.contains(hash) || ofPeers.contains(hash);
+  }
+
+  private static long hash(String session) {
+    long hash = FNV_OFFSET;
+    for (int i = 0; i < session.length(); i++) {
+      hash = (hash ^ session.charAt(i)) * FNV_PRIME;
+    }
+    return hash;
   }
 
-  /** Returns the sessions that this host holds by what it saw itself. */
-  List<String> own() {
+  /** Returns the hashes of the sessions that this host holds by what it saw itself. */
+  List<Long> own() {
     return List.copyOf(own);
   }
 }
--- a/core/src/main/java/org/clementinequay/core/rollout/TrafficShift.java
+++ b/core/src/main/java/org/clementinequay/core/rollout/TrafficShift.java
@@ -371,13 +371,13 @@
     }
   }
 
-  /** Returns the sessions that this host knows to belong to the old version for now. */
-  public synchronized List<String> heldSessions(long nowNanos) {
+  /** Returns the hashes of the sessions that this host knows to belong to the old version. */
+  public synchronized List<Long> heldSessions(long nowNanos) {
     return isBeforeSessionMove(nowNanos) ? held.own() : List.of();
   }
 
-  /** Adds sessions that a peer holds on the old version. */
-  public synchronized void mergeHeldSessions(Collection<String> sessions) {
+  /** Adds hashes of sessions that a peer holds on the old version. */
+  public synchronized void mergeHeldSessions(Collection<Long> sessions) {
     held.mergePeers(sessions);
   }
 
--- a/core/src/test/java/org/clementinequay/core/coldstart/ColdStartLimiterTest.java
+++ b/core/src/test/java/org/clementinequay/core/coldstart/ColdStartLimiterTest.java
@@ -70,7 +70,7 @@
 
     private ColdStartLimiter start(int host, long nowNanos) {
       ColdStartLimiter limiter = new ColdStartLimiter(names.get(host), Optional.of(BOUND));
-      limiter.addMembers(knowledge.members(host, names, random), nowNanos);
+      limiter.updateMembers(knowledge.members(host, names, random), nowNanos);
       return limiter;
     }
 
@@ -124,6 +124,21 @@
     }
   }
 
+  // Guards against hosts that were replaced and keep their slots.
+  @Test
+  public void slotsOfHostsThatLeftTheListComeBack() {
+    ColdStartLimiter limiter = new ColdStartLimiter("h", Optional.of(BOUND));
+    List<String> replaced = new ArrayList<>();
+    for (int i = 0; i < 300; i++) {
+      replaced.add("gone-" + i);
+    }
+    limiter.updateMembers(replaced, 0);
+    limiter.updateMembers(List.of("h"), 10 * SECOND);
+    limiter.updateMembers(List.of("h"), 100 * SECOND);
+    limiter.markCold("u", PER_SECOND, 200 * SECOND, 110 * SECOND);
+    assertEquals(limiter.share("u", 110 * SECOND), (int) PER_SECOND);
+  }
+
   // Guards against a limit that keeps a cold upstream idle.
   @Test
   public void coldUpstreamGetsWhatItBears() {
--- a/server/src/main/java/org/clementinequay/server/gateway/GatewayHost.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/GatewayHost.java
@@ -164,7 +164,7 @@
     if (!members.isEmpty()) {
       peers.peers().forEach(peer -> members.add(peer.host()));
     }
-    gateway.coldStarts.addMembers(members, clock.nanoTime());
+    gateway.coldStarts.updateMembers(members, clock.nanoTime());
     return MEMBERS_INTERVAL;
   }
 
--- a/server/src/main/java/org/clementinequay/server/gateway/ShiftGossip.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/ShiftGossip.java
@@ -33,7 +33,7 @@
     private final EvidencePacer pacer = new EvidencePacer();
     private TrafficShift.Evidence own = TrafficShift.Evidence.empty();
     private TrafficShift.Evidence ofDomain = TrafficShift.Evidence.empty();
-    private List<String> heldSessions = List.of();
+    private List<Long> heldSessions = List.of();
     private String stopReason = "";
     private boolean lastStage;
 
@@ -83,7 +83,7 @@
         ofDomain.since(sent.pacer.isFullRound() ? none : sent.ofDomain);
     // Hosts that do not know the order yet drop what is sent in the first rounds.
     boolean allHeld = sent.pacer.isFullRound() || shift.holdsUnknownSessions(nowNanos);
-    List<String> newHeld = takeHeldSessions(shift, sent, allHeld, nowNanos);
+    List<Long> newHeld = takeHeldSessions(shift, sent, allHeld, nowNanos);
     long bytes = 0;
     if (always || !newOwn.isEmpty() || !newHeld.isEmpty()) {
       bytes +=
@@ -103,17 +103,17 @@
 
   /** Sends new sessions at once, because their next requests may come to other hosts. */
   private void sendHeldSessions(TrafficShift shift, SentEvidence sent, long nowNanos) {
-    List<String> newHeld = takeHeldSessions(shift, sent, false, nowNanos);
+    List<Long> newHeld = takeHeldSessions(shift, sent, false, nowNanos);
     if (!newHeld.isEmpty()) {
       TrafficShift.Evidence none = TrafficShift.Evidence.empty();
       links.broadcast(encode(shift, gateway.hostName, none, newHeld, nowNanos), this::isNear);
     }
   }
 
-  private static List<String> takeHeldSessions(
+  private static List<Long> takeHeldSessions(
       TrafficShift shift, SentEvidence sent, boolean all, long nowNanos) {
-    List<String> held = shift.heldSessions(nowNanos);
-    List<String> result = new ArrayList<>(held);
+    List<Long> held = shift.heldSessions(nowNanos);
+    List<Long> result = new ArrayList<>(held);
     if (!all) {
       result.removeAll(sent.heldSessions);
     }
@@ -129,7 +129,7 @@
       TrafficShift shift,
       String source,
       TrafficShift.Evidence evidence,
-      List<String> heldSessions,
+      List<Long> heldSessions,
       long nowNanos) {
     List<PeerMessage.ShiftCount> counts = new ArrayList<>();
     addCounts(counts, source, true, evidence.target());
--- a/server/src/main/java/org/clementinequay/server/peer/PeerMessage.java
+++ b/server/src/main/java/org/clementinequay/server/peer/PeerMessage.java
@@ -104,8 +104,8 @@
    * @param stopped why the version was stopped; empty if it was not
    * @param lastStage whether the sender sends all traffic to the version
    * @param counts counts by source and route that are new to the peer, or all counts
-   * @param heldSessions sessions that stay on the old version for now and are new to the peer, or
-   *     all of them; null from a host that does not tell
+   * @param heldSessions hashes of the sessions that stay on the old version for now and are new to
+   *     the peer, or all of them; null from a host that does not tell
    */
   record ShiftNews(
       @JsonProperty("s") String service,
@@ -114,7 +114,7 @@
       @JsonProperty("x") String stopped,
       @JsonProperty("l") boolean lastStage,
       @JsonProperty("c") List<ShiftCount> counts,
-      @JsonProperty("h") List<String> heldSessions)
+      @JsonProperty("h") List<Long> heldSessions)
       implements PeerMessage {}
 
   /**
--- a/server/src/test/java/org/clementinequay/server/gateway/AcceptedUpstreamsTest.java
+++ b/server/src/test/java/org/clementinequay/server/gateway/AcceptedUpstreamsTest.java
@@ -111,7 +111,7 @@
       ColdStartLimiter limiter =
           new ColdStartLimiter("h1", Optional.of(new ColdStartBound(0.5, 0)));
       fixture = new GatewayFixture(null, builder -> builder.coldStarts(limiter));
-      limiter.addMembers(List.of("h1"), fixture.clock.nanoTime());
+      limiter.updateMembers(List.of("h1"), fixture.clock.nanoTime());
       fixture.clock.advance(SETTLED);
       fixture.gateway.updateInstances(List.of(instance("a", "x", 0), instance("b", "y", 0)));
     }
--- a/server/src/test/java/org/clementinequay/server/peer/FrameCodecTest.java
+++ b/server/src/test/java/org/clementinequay/server/peer/FrameCodecTest.java
@@ -29,7 +29,7 @@
         new PeerMessage.UpstreamReading(
             new UpstreamListing.Update(9, 1, 2, List.of(), List.of("u")), 12_345)
       },
-      {new PeerMessage.ShiftNews("s", 7, 100, "", true, List.of(), List.of("a"))},
+      {new PeerMessage.ShiftNews("s", 7, 100, "", true, List.of(), List.of(1L << 40))},
     };
   }
 
