Split the way of a request into named steps

Change: RequestClock (times), AttemptHistory (attempts and what callers may be told), AdmissionStep (whether an attempt may start), AnswerJudge (heads of responses), StreamRelay (events on their way to the caller). Behaviour is unchanged. Ruled out: a pipeline of filters as for the chat interface; the steps share the lock and state of one request.

--- /dev/null
+++ b/server/src/main/java/org/clementinequay/server/gateway/AttemptHistory.java
@@ -0,0 +1,82 @@
+package org.clementinequay.server.gateway;
+
+import java.util.HashSet;
+import java.util.Set;
+
+/** The attempts of one request so far, and what they allow to tell its caller. */
+final class AttemptHistory {
+  private final Set<String> tried = new HashSet<>();
+
+  /** Upstreams that were given up for silence alone; they may be sound and go on. */
+  private final Set<String> silent = new HashSet<>();
+
+  private int count;
+  private boolean mayHaveRun;
+
+  /** Returns the number of attempts that count towards the limit of the route. */
+  int count() {
+    return count;
+  }
+
+  /** Returns the upstreams to which the request was sent. */
+  Set<String> tried() {
+    return tried;
+  }
+
+  /** Returns whether an upstream may have run the request, so that no caller is told otherwise. */
+  boolean mayHaveRun() {
+    return mayHaveRun;
+  }
+
+  void recordMayHaveRun() {
+    mayHaveRun = true;
+  }
+
+  void recordStart(String upstreamId) {
+    count++;
+    tried.add(upstreamId);
+  }
+
+  /** Takes back the last attempt, which no upstream received. */
+  void recordNotSent() {
+    count--;
+  }
+
+  /** Records that the upstream of the last attempt did not run the request. */
+  void recordRejected() {
+    if (!silent.isEmpty()) {
+      // Otherwise the rejections of full upstreams would use up the attempts of the request.
+      count--;
+    }
+  }
+
+  /**
+   * Records that an upstream was given up for silence. It is tried again if no other upstream takes
+   * the request: silence alone must not end an answer.
+   */
+  void recordSilent(String upstreamId) {
+    silent.add(upstreamId);
+  }
+
+  /** Returns the silent upstreams and forgets them. */
+  Set<String> takeSilent() {
+    Set<String> taken = Set.copyOf(silent);
+    silent.clear();
+    return taken;
+  }
+
+  /** Allows all upstreams again, for instance with another model. */
+  void forgetTried() {
+    tried.clear();
+  }
+
+  /** Returns the status of a failure: 503 promises that the request has not run. */
+  int failureStatus() {
+    return mayHaveRun ? ErrorResponses.BAD_GATEWAY : ErrorResponses.UNAVAILABLE;
+  }
+
+  /** Returns the status if the time of the caller is over. */
+  int timeoutStatus() {
+    return mayHaveRun ? ErrorResponses.GATEWAY_TIMEOUT : ErrorResponses.UNAVAILABLE;
+  }
+}
--- a/server/src/main/java/org/clementinequay/server/gateway/ErrorResponses.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/ErrorResponses.java
@@ -10,7 +10,9 @@
   /** Value of {@code Retry-After} where no better estimate is known, in seconds. */
   static final double DEFAULT_RETRY_AFTER_SECONDS = 0.5;
 
-  private static final int UNAVAILABLE = 503;
+  static final int BAD_GATEWAY = 502;
+  static final int UNAVAILABLE = 503;
+  static final int GATEWAY_TIMEOUT = 504;
 
   private ErrorResponses() {}
 
--- a/server/src/main/java/org/clementinequay/server/gateway/GatewayAttempt.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/GatewayAttempt.java
@@ -2,7 +2,6 @@
 
 import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
-import java.util.Set;
 import org.clementinequay.core.cascade.EscalationRule;
 import org.clementinequay.core.dispatch.CorruptStreamException;
 import org.clementinequay.core.dispatch.StallRule;
@@ -25,32 +24,16 @@
    */
   private static final int MAX_BUFFERED_BODY_BYTES = 1 << 20;
 
-  /** Number of events that a stream must exceed before its time per token is measured. */
-  private static final int TOKEN_TIME_EVENT_THRESHOLD = 4;
-
   /** Confidence of a response that states none. */
   private static final int DEFAULT_CONFIDENCE = 100;
 
-  private static final int OK = 200;
-  private static final int SERVER_ERROR = 500;
-
-  /**
-   * Time after the first event from which the upstream has outlived the beginning of the answer, in
-   * nanoseconds.
-   */
-  private static final long BEGINNING_NANOS = 300_000_000L;
-
-  /**
-   * Statuses from which callers conclude that the request has not run. They are not passed on
-   * unless the upstream stated so explicitly.
-   */
-  private static final Set<Integer> NOT_RUN_STATUSES = Set.of(408, 429, 503);
-
   private final RequestForwarder forwarder;
   private final Gateway gateway;
   final UpstreamInstance instance;
   private final EngineSelector.Choice choice;
   final long startedNanos;
+  private final AnswerJudge judge;
+  private final StreamRelay relay;
   private final ByteArrayOutputStream bufferedBody = new ByteArrayOutputStream();
   UpstreamTransport.Call call;
   private ResponseHead head;
@@ -61,8 +44,6 @@
   /** Whether the body has a length or chunks, so that its end is not that of the connection. */
   private boolean framed;
 
-  private long firstEventNanos;
-  private long firstEventId;
   private boolean released;
 
   /** Whether the upstream may have received the request. */
@@ -70,7 +51,6 @@
 
   boolean slow;
   private long lastReceivedNanos;
-  private boolean answerBegunRecorded;
 
   GatewayAttempt(
       RequestForwarder forwarder, UpstreamInstance instance, EngineSelector.Choice choice) {
@@ -80,6 +60,8 @@
     this.lastReceivedNanos = startedNanos;
     this.instance = instance;
     this.choice = choice;
+    this.judge = new AnswerJudge(forwarder.request, forwarder.route.kind());
+    this.relay = new StreamRelay(forwarder, instance.id());
   }
 
   /** Fails over to another upstream if this one is stalled and the budget allows a retry. */
@@ -89,7 +71,7 @@
         Math.min(ageMillis(), gateway.engineSelector.silenceMillis(instance.id(), nowNanos));
     StallRule.Progress progress =
         new StallRule.Progress(
-            firstEventNanos != 0,
+            relay.begun(),
             choice.prefillMillis(),
             gateway.engineSelector.outstanding(instance.id()) > 1,
             silenceMillis,
@@ -123,12 +105,6 @@
     return !forwarder.finished && forwarder.current == this;
   }
 
-  /** Returns whether a response is a stream of events; a stream that has begun takes only 200. */
-  private boolean isStream(ResponseHead response) {
-    return forwarder.route.kind().streaming()
-        && (forwarder.committed ? response.status() == OK : response.success());
-  }
-
   /**
    * Returns false, so that nothing is sent, if the caller or the upstream left while the request
    * waited for a connection, or if this host stops and the time left has become too short.
@@ -140,7 +116,7 @@
           if (isActive() && forwarder.response.isDisconnected()) {
             forwarder.callerDisconnected();
           }
-          if (isActive() && forwarder.mustRefuseForStop()) {
+          if (isActive() && forwarder.admission.mustRefuseForStop()) {
             forwarder.refuseForStop();
           }
           maybeSent = isActive() && gateway.accepts(instance);
@@ -159,21 +135,21 @@
     }
     recordReceived();
     ResponseHead response = gateway.protocol.decodeResponse(status, headers);
-    if (!isValid(response)) {
+    if (!judge.isOwn(response)) {
       abandonAndFail("response to another request, or without authentication code");
       return;
     }
-    if (response.success() && headers.contains(HttpHeader.CONTENT_ENCODING)) {
+    if (AnswerJudge.isEncoded(response, headers)) {
       abandonAndFail("encoded response, which no caller requests");
       return;
     }
     head = response;
-    relaying = isStream(response);
+    relaying = judge.isStream(response, forwarder.committed);
     framed =
         headers.contains(HttpHeader.CONTENT_LENGTH)
             || headers.contains(HttpHeader.TRANSFER_ENCODING);
-    if (isUnidentifiedRefusal()) {
-      forwarder.mayHaveRun = true;
+    if (judge.isUnidentifiedRefusal(head)) {
+      forwarder.history.recordMayHaveRun();
       forwarder.abortCall(this, "refusal without the id of the request");
       attemptRejected();
       return;
@@ -202,39 +178,17 @@
         "model",
         forwarder.placement.model().orElse(""));
     forwarder.placement.useLargestModel();
-    forwarder.mayHaveRun = true;
-    forwarder.triedIds.clear();
+    forwarder.history.recordMayHaveRun();
+    forwarder.history.forgetTried();
     forwarder.abandonCurrent("a larger model is asked");
     forwarder.startAttempt();
   }
 
-  /**
-   * Returns whether a response belongs to this request: a success must repeat the id of the request
-   * and have the upstream's authentication code.
-   */
-  private boolean isValid(ResponseHead response) {
-    if (response.requestId().isEmpty()) {
-      return !response.success();
-    }
-    return response.requestId().equals(forwarder.request.id())
-        && (response.sealed() || !response.success());
-  }
-
-  /**
-   * Returns whether a refusal on a connection that had other requests before lacks the id of the
-   * request. A faulty upstream may have repeated an earlier refusal there, and run this request.
-   */
-  private boolean isUnidentifiedRefusal() {
-    return (head.misdirected() || head.notRun())
-        && head.requestId().isEmpty()
-        && forwarder.route.kind().retryable();
-  }
-
   private double requiredConfidence() {
     return EscalationRule.confidenceThreshold(
         new EscalationRule.Progress(
             forwarder.route.latencyObjectiveMillis(),
-            forwarder.elapsedMillis(),
+            forwarder.times.elapsedMillis(),
             ageMillis() - choice.prefillMillis(),
             forwarder.placement.largestModelPromptMillis()));
   }
@@ -243,12 +197,12 @@
   private void failOver(String reason) {
     forwarder.current = null;
     release();
-    forwarder.mayHaveRun = true;
+    forwarder.history.recordMayHaveRun();
     boolean ejected =
         forwarder.route.kind().streaming() && gateway.health.recordUnreachable(instance.id());
     forwarder.abortCall(this, reason);
     forwarder.placement.recordFailure(instance);
-    forwarder.recordSilent(instance);
+    forwarder.history.recordSilent(instance.id());
     gateway.recordStalled(new StalledAttempt(instance, forwarder.route.name()));
     forwarder.log(
         "stalled",
@@ -290,18 +244,10 @@
       return;
     }
     try {
-      byte[] completeEvents = forwarder.events.feed(bytes);
-      if (completeEvents.length == 0) {
-        forwarder.openCalls.add(next::succeeded);
-        return;
-      }
-      recordReceived();
-      relay(completeEvents, next);
-      if (isAnswerBegun()) {
-        recordAnswerBegun();
+      if (relay.relay(head, bytes, next)) {
+        recordReceived();
       }
     } catch (CorruptStreamException e) {
-      forwarder.openCalls.add(next::succeeded);
       abandonAndFail(e.getMessage());
     }
   }
@@ -317,51 +263,6 @@
     bufferedBody.writeBytes(part);
   }
 
-  /** Returns whether the upstream has outlived the beginning of the answer. */
-  private boolean isAnswerBegun() {
-    return firstEventNanos != 0 && gateway.clock.nanoTime() - firstEventNanos >= BEGINNING_NANOS;
-  }
-
-  private void recordAnswerBegun() {
-    if (!answerBegunRecorded) {
-      answerBegunRecorded = true;
-      gateway.crashGuard.answerBegun(forwarder.service, forwarder.sharedPartIds);
-    }
-  }
-
-  private void relay(byte[] completeEvents, Callback next) {
-    if (firstEventNanos == 0) {
-      firstEventNanos = gateway.clock.nanoTime();
-      firstEventId = forwarder.events.lastId();
-    }
-    if (!forwarder.committed) {
-      forwarder.committed = true;
-      forwarder.firstEventNanos = firstEventNanos;
-      forwarder.log(
-          "first_event",
-          "upstream",
-          instance.id(),
-          "model",
-          forwarder.placement.model().orElse(""),
-          "confidence",
-          head.confidence().orElse(-1),
-          "ms",
-          forwarder.elapsedMillis());
-      ResponseHead first = head;
-      forwarder.openCalls.addInOrder(
-          () -> forwarder.response.sendHead(first.status(), first.returned()));
-    }
-    Callback sent =
-        Callback.from(
-            next::succeeded,
-            failure -> {
-              next.succeeded();
-              forwarder.callerDisconnected();
-            });
-    forwarder.openCalls.addInOrder(
-        () -> forwarder.response.sendPart(ByteBuffer.wrap(completeEvents), sent));
-  }
-
   @Override
   public void ended() {
     forwarder.update(() -> handleEnd());
@@ -385,7 +286,7 @@
       attemptFailed("the stream ended inside an event", true);
       return;
     }
-    if (firstEventId == 0 && !statesThatNothingIsLeft()) {
+    if (!relay.begun() && !statesThatNothingIsLeft()) {
       attemptFailed("the stream ended before its first event", true);
       return;
     }
@@ -398,7 +299,7 @@
         "events",
         forwarder.events.lastId(),
         "ms",
-        forwarder.elapsedMillis());
+        forwarder.times.elapsedMillis());
     if (forwarder.committed) {
       forwarder.openCalls.addInOrder(forwarder.response::end);
     } else {
@@ -411,32 +312,31 @@
    * that ends with its connection does not: an upstream that stops behind the head looks the same.
    */
   private boolean statesThatNothingIsLeft() {
-    return framed && head.status() == OK && forwarder.events.lastId() > 0;
+    return framed && head.status() == AnswerJudge.OK && forwarder.events.lastId() > 0;
   }
 
   private void responseEnded() {
-    if (head.misdirected() || head.notRun()) {
-      attemptRejected();
-    } else if (forwarder.committed
-        || head.status() >= SERVER_ERROR
-        || NOT_RUN_STATUSES.contains(head.status())) {
-      // Once a stream has begun, the caller can take no response but its rest.
-      upstreamFailed();
-    } else {
-      attemptSucceeded();
-      forwarder.finishComplete(head);
-      forwarder.log(
-          "done",
-          "upstream",
-          instance.id(),
-          "status",
-          head.status(),
-          "ms",
-          forwarder.elapsedMillis());
-      forwarder.sendComplete(head.status(), head.returned(), bufferedBody.toByteArray());
+    switch (judge.judge(head, forwarder.committed)) {
+      case REJECTED -> attemptRejected();
+      case FAILED -> upstreamFailed();
+      case ANSWER -> responseComplete();
     }
   }
 
+  private void responseComplete() {
+    attemptSucceeded();
+    forwarder.finishComplete(head);
+    forwarder.log(
+        "done",
+        "upstream",
+        instance.id(),
+        "status",
+        head.status(),
+        "ms",
+        forwarder.times.elapsedMillis());
+    forwarder.sendComplete(head.status(), head.returned(), bufferedBody.toByteArray());
+  }
+
   private void attemptRejected() {
     forwarder.current = null;
     release();
@@ -445,10 +345,10 @@
       // Another process has the address now. The listed instance has ended and received nothing, so
       // this does not count as an attempt.
       gateway.health.recordUnreachable(instance.id());
-      forwarder.attempts--;
+      forwarder.history.recordNotSent();
     } else {
       gateway.health.recordAbandoned(instance.id());
-      forwarder.recordRejected();
+      forwarder.history.recordRejected();
     }
     forwarder.retryOrFail(AttemptEnd.NOT_RUN, "the upstreams are full");
   }
@@ -456,7 +356,7 @@
   private void upstreamFailed() {
     forwarder.current = null;
     release();
-    forwarder.mayHaveRun = true;
+    forwarder.history.recordMayHaveRun();
     gateway.health.recordSuccess(instance.id());
     recordOutcome(true);
     forwarder.placement.recordFailure(instance);
@@ -466,14 +366,14 @@
       return;
     }
     if (forwarder.committed) {
-      forwarder.fail(RequestForwarder.BAD_GATEWAY, "the upstream failed");
+      forwarder.fail(ErrorResponses.BAD_GATEWAY, "the upstream failed");
       return;
     }
     forwarder.finish(head.status(), "upstream failed");
-    if (NOT_RUN_STATUSES.contains(head.status())) {
+    if (AnswerJudge.promisesNotRun(head.status())) {
       forwarder.sendComplete(
-          RequestForwarder.BAD_GATEWAY,
-          ErrorResponses.headers(RequestForwarder.BAD_GATEWAY, 0),
+          ErrorResponses.BAD_GATEWAY,
+          ErrorResponses.headers(ErrorResponses.BAD_GATEWAY, 0),
           ErrorResponses.body("the upstream failed"));
     } else {
       forwarder.sendComplete(head.status(), head.returned(), bufferedBody.toByteArray());
@@ -483,12 +383,12 @@
   private void attemptSucceeded() {
     forwarder.current = null;
     release();
-    forwarder.mayHaveRun = true;
+    forwarder.history.recordMayHaveRun();
     forwarder.recordSessionVersion(instance);
     gateway.health.recordSuccess(instance.id());
     recordOutcome(false);
-    if (firstEventNanos != 0) {
-      recordAnswerBegun();
+    if (relay.begun()) {
+      relay.recordBeginning();
     }
   }
 
@@ -497,16 +397,10 @@
    * broke off.
    */
   private void recordTokenTime() {
-    long generated = forwarder.events.lastId() - firstEventId;
-    long nanos = gateway.clock.nanoTime() - firstEventNanos;
-    if (firstEventNanos == 0 || generated <= TOKEN_TIME_EVENT_THRESHOLD) {
+    double tokenMillis = relay.tokenMillis();
+    if (Double.isNaN(tokenMillis)) {
       return;
     }
-    double tokenMillis =
-        nanos
-            / 1e6
-            / (generated * forwarder.placement.tokensPerEvent())
-            / forwarder.placement.weight();
     gateway.engineSelector.recordTokenTime(instance.id(), tokenMillis);
     slow = gateway.slowAnswers.observe(forwarder.service, tokenMillis, !isTargetVersion());
   }
@@ -546,9 +440,10 @@
   private void attemptFailed(String reason, boolean offered) {
     forwarder.current = null;
     release();
-    forwarder.mayHaveRun |= offered;
-    if (!offered) {
-      forwarder.attempts--;
+    if (offered) {
+      forwarder.history.recordMayHaveRun();
+    } else {
+      forwarder.history.recordNotSent();
     }
     boolean ejected =
         offered
@@ -572,10 +467,10 @@
         "answer_begun",
         head != null,
         "first_event_received",
-        firstEventNanos != 0,
+        relay.begun(),
         "prompt",
         forwarder.sharedPartIds);
-    if (offered && !isAnswerBegun()) {
+    if (offered && !relay.hasOutlivedBeginning()) {
       gateway.crashGuard.attemptBroken(instance, startedNanos, forwarder.sharedPartIds);
     }
     forwarder.events.discardPartialEvent();
--- a/server/src/main/java/org/clementinequay/server/gateway/RequestForwarder.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/RequestForwarder.java
@@ -3,12 +3,10 @@
 import com.google.common.flogger.FluentLogger;
 import java.io.IOException;
 import java.time.Duration;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
-import java.util.Set;
 import org.clementinequay.core.dispatch.EventSplitter;
 import org.clementinequay.core.forward.AccountKeys;
 import org.clementinequay.core.forward.ForwardingConfiguration;
@@ -33,21 +31,6 @@
   /** Time past the deadline in which an upstream may still report its timeout, in milliseconds. */
   static final long DEADLINE_GRACE_MILLIS = 100;
 
-  /** Longest time by which a request outlives its deadline. */
-  private static final Duration MAX_OVERRUN =
-      Duration.ofMillis(DEADLINE_GRACE_MILLIS).plus(RequestWatchdog.INTERVAL);
-
-  private static final String STOPPING = "this host stops";
-
-  /** Value of {@code Retry-After} where other hosts can take the request, in seconds. */
-  private static final double RETRY_AT_ONCE_SECONDS = 0;
-
-  /** Minimum remaining time for which an attempt is started, in milliseconds. */
-  private static final long MIN_ATTEMPT_MILLIS = 30;
-
-  static final int BAD_GATEWAY = 502;
-  static final int UNAVAILABLE = 503;
-  private static final int GATEWAY_TIMEOUT = 504;
   final Gateway gateway;
   final GatewayRequest request;
   final Route route;
@@ -55,32 +38,24 @@
   private final byte[] body;
   final CallerResponse response;
   private final Runnable onFinished;
-  private final long receivedNanos;
-  private final long deadlineNanos;
+  final RequestClock times;
   final String service;
 
   /** Parts of the prompt that other requests may share. */
   final List<String> sharedPartIds;
 
-  final Set<String> triedIds = new HashSet<>();
-
-  /** Upstreams that were given up for silence alone; they may be sound and go on. */
-  private final Set<String> silentIds = new HashSet<>();
-
+  final AttemptHistory history = new AttemptHistory();
+  final AdmissionStep admission;
   final AttemptPlacement placement;
   final EventSplitter events;
   final OpenCalls openCalls = new OpenCalls(this);
   GatewayAttempt current;
-  int attempts;
-
-  /** Whether an upstream may have run the request, so that callers must not be told it did not. */
-  boolean mayHaveRun;
 
   /** Whether the head of the response was sent to the caller. */
   boolean committed;
 
   private long startedNanos;
-  long firstEventNanos;
+  private long firstEventNanos;
   boolean finished;
 
   RequestForwarder(
@@ -98,14 +73,14 @@
     this.account = account;
     this.body = body;
     this.response = response;
-    this.receivedNanos = receivedNanos;
     this.onFinished = onFinished;
     long timeoutMillis =
         Math.min(request.deadlineMillis().orElse(Long.MAX_VALUE), route.timeoutMillis());
-    this.deadlineNanos = receivedNanos + timeoutMillis * 1_000_000;
+    this.times = new RequestClock(gateway.clock, receivedNanos, timeoutMillis);
     this.service = route.selectService(gateway.random.nextDouble());
     this.sharedPartIds = request.sharedPartIds();
     this.placement = new AttemptPlacement(gateway, request, route, service);
+    this.admission = new AdmissionStep(this);
     this.events = new EventSplitter(request.lastEventId().orElse(0));
   }
 
@@ -126,7 +101,7 @@
     if (!finished) {
       abandonCurrent("internal error");
       // What the interrupted change knew is lost, so nothing is said about whether the request ran.
-      fail(BAD_GATEWAY, "internal error");
+      fail(ErrorResponses.BAD_GATEWAY, "internal error");
     }
   }
 
@@ -151,7 +126,7 @@
           if (finished) {
             return;
           }
-          log("caller_gone", "attempts", attempts);
+          log("caller_gone", "attempts", history.count());
           finish(0, "caller left");
           abandonCurrent("the caller left");
           openCalls.addInOrder(() -> response.abort("the caller left"));
@@ -162,12 +137,12 @@
   void checkDeadline() {
     update(
         () -> {
-          if (finished || remainingMillis() > -DEADLINE_GRACE_MILLIS) {
+          if (finished || !times.isOverdue()) {
             return;
           }
           boolean running = current != null;
           abandonCurrent("the time limit was reached");
-          fail(running || mayHaveRun ? GATEWAY_TIMEOUT : UNAVAILABLE, "time limit");
+          fail(running ? ErrorResponses.GATEWAY_TIMEOUT : history.timeoutStatus(), "time limit");
         });
   }
 
@@ -181,11 +156,13 @@
           if (finished || committed) {
             return;
           }
-          Optional<Duration> quarantined = gateway.crashGuard.quarantined(service, sharedPartIds);
+          Optional<Duration> quarantined = admission.quarantined();
           if (quarantined.isPresent()) {
-            mayHaveRun |= current != null;
+            if (current != null) {
+              history.recordMayHaveRun();
+            }
             abandonCurrent("a part of the prompt is in quarantine");
-            failQuarantined(quarantined.get());
+            reject(admission.quarantineRejection(quarantined.get()));
           }
         });
   }
@@ -195,7 +172,9 @@
     update(
         () -> {
           if (!finished) {
-            mayHaveRun |= current != null && current.maybeSent;
+            if (current != null && current.maybeSent) {
+              history.recordMayHaveRun();
+            }
             refuseForStop();
           }
         });
@@ -203,36 +182,12 @@
 
   /** Ends the request, whose current attempt was not sent, because this host stops. */
   void refuseForStop() {
-    abandonCurrent(STOPPING);
-    failStopping();
-  }
-
-  private void failStopping() {
-    fail(mayHaveRun ? BAD_GATEWAY : UNAVAILABLE, STOPPING, RETRY_AT_ONCE_SECONDS);
+    abandonCurrent(AdmissionStep.STOPPING);
+    reject(admission.stopRejection());
   }
 
-  /**
-   * Returns whether an attempt that begins now can complete the answer before this host ends. An
-   * answer that has begun goes on as far as it can.
-   */
-  private boolean canFinish() {
-    Duration limit = Duration.ofMillis(remainingMillis()).plus(MAX_OVERRUN);
-    return committed || gateway.canFinish(route, startedNanos, limit);
-  }
-
-  /**
-   * Returns whether to refuse the request instead of sending it. One that may have run could get no
-   * promise, so its next attempt is decided when it is chosen, and not again when it is sent.
-   */
-  boolean mustRefuseForStop() {
-    return !mayHaveRun && !canFinish();
-  }
-
-  private void failQuarantined(Duration remaining) {
-    fail(
-        mayHaveRun ? BAD_GATEWAY : UNAVAILABLE,
-        "upstreams crash under a part of the prompt",
-        remaining.toMillis() / 1000.0);
+  private void reject(AdmissionStep.Rejection rejection) {
+    fail(rejection.status(), rejection.reason(), rejection.retryAfterSeconds());
   }
 
   /** Moves the request to another upstream if the current one is stalled. */
@@ -253,35 +208,25 @@
       callerDisconnected();
       return;
     }
-    long remaining = remainingMillis();
-    if (remaining < MIN_ATTEMPT_MILLIS) {
-      fail(mayHaveRun ? GATEWAY_TIMEOUT : UNAVAILABLE, "no time is left");
-      return;
-    }
-    if (mustRefuseForStop()) {
-      failStopping();
-      return;
-    }
-    Optional<Duration> quarantined = gateway.crashGuard.quarantined(service, sharedPartIds);
-    if (quarantined.isPresent()) {
-      failQuarantined(quarantined.get());
+    Optional<AdmissionStep.Rejection> rejection = admission.rejection();
+    if (rejection.isPresent()) {
+      reject(rejection.get());
       return;
     }
-    Optional<AttemptPlacement.Selection> selection = placement.select(triedIds);
+    Optional<AttemptPlacement.Selection> selection = placement.select(history.tried());
     if (selection.isEmpty()) {
-      selection = placement.selectAgain(silentIds);
-      silentIds.clear();
+      selection = placement.selectAgain(history.takeSilent());
     }
     if (selection.isEmpty()) {
-      fail(mayHaveRun ? BAD_GATEWAY : UNAVAILABLE, "no upstream is available");
+      fail(history.failureStatus(), "no upstream is available");
       return;
     }
-    send(selection.get().instance(), selection.get().choice(), remaining);
+    send(selection.get().instance(), selection.get().choice());
   }
 
-  private void send(UpstreamInstance instance, EngineSelector.Choice choice, long remaining) {
-    attempts++;
-    triedIds.add(instance.id());
+  private void send(UpstreamInstance instance, EngineSelector.Choice choice) {
+    long remaining = times.remainingMillis();
+    history.recordStart(instance.id());
     GatewayAttempt attempt = new GatewayAttempt(this, instance, choice);
     current = attempt;
     boolean streaming = route.kind().streaming();
@@ -314,7 +259,7 @@
     log(
         "send",
         "attempt",
-        attempts,
+        history.count(),
         "upstream",
         instance.id(),
         "version",
@@ -348,10 +293,6 @@
         9, account.map(AccountKeys::priority).orElse(OptionalInt.empty()).orElse(route.priority()));
   }
 
-  long remainingMillis() {
-    return (deadlineNanos - gateway.clock.nanoTime()) / 1_000_000;
-  }
-
   /** Abandons the current attempt, if there is one; this is no failure of its upstream. */
   void abandonCurrent(String reason) {
     if (current != null) {
@@ -375,25 +316,11 @@
     openCalls.add(() -> attempt.call.abort(new IOException(reason)));
   }
 
-  /**
-   * Records that an upstream was given up for silence. It is tried again if no other upstream takes
-   * the request: silence alone must not end an answer.
-   */
-  void recordSilent(UpstreamInstance instance) {
-    silentIds.add(instance.id());
-  }
-
-  /** Records that the upstream of the last attempt did not run the request. */
-  void recordRejected() {
-    if (!silentIds.isEmpty()) {
-      // Otherwise the rejections of full upstreams would use up the attempts of the request.
-      attempts--;
-    }
-  }
-
   /** Takes a retry from the budget if an upstream that was not tried could continue the request. */
   boolean tryRetryElsewhere() {
-    return canAttemptAgain() && placement.hasCandidate(triedIds) && gateway.tryRetry(service);
+    return canAttemptAgain()
+        && placement.hasCandidate(history.tried())
+        && gateway.tryRetry(service);
   }
 
   /**
@@ -407,17 +334,19 @@
   }
 
   private boolean canAttemptAgain() {
-    return attempts < route.maxAttempts() && remainingMillis() >= MIN_ATTEMPT_MILLIS && canFinish();
+    return history.count() < route.maxAttempts()
+        && times.allowsAttempt()
+        && admission.canFinish();
   }
 
   /** Starts another attempt if {@link #tryRetry} allows it; otherwise fails the request. */
   void retryOrFail(AttemptEnd end, String reason) {
     if (tryRetry(end)) {
       startAttempt();
-    } else if (!canFinish()) {
-      failStopping();
+    } else if (!admission.canFinish()) {
+      reject(admission.stopRejection());
     } else {
-      fail(mayHaveRun ? BAD_GATEWAY : UNAVAILABLE, reason);
+      fail(history.failureStatus(), reason);
     }
   }
 
@@ -433,11 +362,11 @@
         "reason",
         reason,
         "attempts",
-        attempts,
+        history.count(),
         "may_have_run",
-        mayHaveRun,
+        history.mayHaveRun(),
         "ms",
-        elapsedMillis());
+        times.elapsedMillis());
     finish(committed ? 0 : status, reason);
     sendComplete(
         status, ErrorResponses.headers(status, retryAfterSeconds), ErrorResponses.body(reason));
@@ -461,6 +390,27 @@
     finish(head.status(), "none");
   }
 
+  /** Sends the head of a stream to the caller, who can take only the rest of this answer then. */
+  void commit(ResponseHead head, long eventNanos, String upstreamId) {
+    committed = true;
+    firstEventNanos = eventNanos;
+    log(
+        "first_event",
+        "upstream",
+        upstreamId,
+        "model",
+        placement.model().orElse(""),
+        "confidence",
+        head.confidence().orElse(-1),
+        "ms",
+        times.elapsedMillis());
+    openCalls.addInOrder(() -> response.sendHead(head.status(), head.returned()));
+  }
+
+  long startedNanos() {
+    return startedNanos;
+  }
+
   void finish(int status, String reason) {
     finished = true;
     gateway.observer.requestFinished(
@@ -468,16 +418,12 @@
         route.name(),
         status,
         reason,
-        firstEventNanos == 0 ? 0 : firstEventNanos - receivedNanos,
-        gateway.clock.nanoTime() - receivedNanos);
+        firstEventNanos == 0 ? 0 : times.elapsedNanosAt(firstEventNanos),
+        times.elapsedNanos());
     gateway.activeRequests.remove(this);
     onFinished.run();
   }
 
-  long elapsedMillis() {
-    return (gateway.clock.nanoTime() - receivedNanos) / 1_000_000;
-  }
-
   /** Logs the state of a request that is open when this host ends. */
   void logUnfinished(long stopNanos) {
     update(
@@ -485,7 +431,7 @@
             log(
                 "unfinished_attempt",
                 "attempts",
-                attempts,
+                history.count(),
                 "upstream",
                 current == null ? "" : current.instance.id(),
                 "attempt_ms",
@@ -493,7 +439,7 @@
                 "answer_begun",
                 committed,
                 "may_have_run",
-                mayHaveRun));
+                history.mayHaveRun()));
   }
 
   void log(String event, Object... fields) {
