Name every verdict of an answer and format the steps

Cause: the linter asks for a default clause; the formatter had not run on the split. Change: a default that cannot be reached; formatting. Ruled out: none.

--- a/server/src/main/java/org/clementinequay/server/gateway/GatewayAttempt.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/GatewayAttempt.java
@@ -320,6 +320,7 @@
       case REJECTED -> attemptRejected();
       case FAILED -> upstreamFailed();
       case ANSWER -> responseComplete();
+      default -> throw new IllegalStateException("unknown verdict");
     }
   }
 
--- a/server/src/main/java/org/clementinequay/server/gateway/RequestForwarder.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/RequestForwarder.java
@@ -334,9 +334,7 @@
   }
 
   private boolean canAttemptAgain() {
-    return history.count() < route.maxAttempts()
-        && times.allowsAttempt()
-        && admission.canFinish();
+    return history.count() < route.maxAttempts() && times.allowsAttempt() && admission.canFinish();
   }
 
   /** Starts another attempt if {@link #tryRetry} allows it; otherwise fails the request. */
