Move streams from silent engines on evidence, not on the silence of one request

Change: where hosts share the engines, a silent engine is probed by a connection. One that accepts none is left as before; one that does is busy, and the request moves only after a multiple of what the others need now. Only an unreachable engine is ejected. Ruled out: engines that reject as full (16 rejections reached a host); refusals (1).

--- a/server/src/main/java/org/clementinequay/server/gateway/Gateway.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/Gateway.java
@@ -11,8 +11,10 @@
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.IntSupplier;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
+import org.clementinequay.core.admission.FirstEventTimes;
 import org.clementinequay.core.dispatch.RetryWindow;
 import org.clementinequay.core.dispatch.UpstreamHealthTracker;
 import org.clementinequay.core.forward.ForwardingConfiguration;
@@ -43,6 +45,9 @@
    */
   private static final long SERVING_WINDOW_MILLIS = 1000;
 
+  /** Number of engines for each host below which the hosts share them. */
+  private static final int ENGINES_PER_HOST = 2;
+
   /** Maximum number of stalled attempts that wait to be looked at; further ones are dropped. */
   private static final int MAX_PENDING_STALLED = 256;
 
@@ -61,6 +66,12 @@
   /** Times from the start of the first attempt to the end of a successful answer, by route. */
   final RecentDurations durations = new RecentDurations();
 
+  final FirstEventTimes firstEventTimes = new FirstEventTimes();
+
+  /** Probes of silent upstreams; without them silence alone moves a request. */
+  final Optional<UpstreamReachability> reachability;
+
+  private final IntSupplier listedHosts;
   final CrashGuard crashGuard;
   final RandomGenerator random;
   final String hostName;
@@ -88,6 +99,8 @@
     this.sessions = new SessionVersions(builder.sessionIdleTime);
     this.health = new UpstreamHealthTracker(clock, MAX_PROBE_DELAY);
     this.crashGuard = new CrashGuard(clock);
+    this.reachability = Optional.ofNullable(builder.reachability);
+    this.listedHosts = builder.listedHosts;
   }
 
   public static Builder builder() {
@@ -166,6 +179,15 @@
     return available.getOrDefault(service, List.of());
   }
 
+  /**
+   * Returns whether so many hosts share the engines of a service that one host seldom has more than
+   * a request on an engine.
+   */
+  boolean sharesEngines(String service) {
+    return reachability.isPresent()
+        && ENGINES_PER_HOST * listedHosts.getAsInt() >= available(service).size();
+  }
+
   /** Limits the requests that are passed on from now on to those that end before the host does. */
   void startStop(StopAdmission admission) {
     stopAdmission = admission;
@@ -262,6 +284,8 @@
     private RandomGenerator random = new SplittableRandom();
     private Supplier<RetryWindow> budgetFactory;
     private Duration sessionIdleTime;
+    private UpstreamReachability reachability;
+    private IntSupplier listedHosts = () -> 1;
 
     private Builder() {}
 
@@ -317,6 +341,17 @@
       return this;
     }
 
+    /**
+     * Sets the probes of silent upstreams; by default there are none.
+     *
+     * @param hosts supplies the number of hosts of the deployment
+     */
+    Builder reachability(UpstreamReachability value, IntSupplier hosts) {
+      reachability = value;
+      listedHosts = hosts;
+      return this;
+    }
+
     public Gateway build() {
       return new Gateway(this);
     }
--- a/server/src/main/java/org/clementinequay/server/gateway/GatewayAttempt.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/GatewayAttempt.java
@@ -4,6 +4,7 @@
 import java.nio.ByteBuffer;
 import org.clementinequay.core.cascade.EscalationRule;
 import org.clementinequay.core.dispatch.CorruptStreamException;
+import org.clementinequay.core.dispatch.SilenceRule;
 import org.clementinequay.core.dispatch.StallRule;
 import org.clementinequay.core.forward.UpstreamInstance;
 import org.clementinequay.core.placement.EngineSelector;
@@ -24,6 +25,12 @@
    */
   private static final int MAX_BUFFERED_BODY_BYTES = 1 << 20;
 
+  /** Time by which a silent upstream is probed before it may be given up, in milliseconds. */
+  private static final long PROBE_LEAD_MILLIS = 200;
+
+  /** Share of the attempts that need at most the usual time to the first event. */
+  private static final double USUAL_QUANTILE = 0.9;
+
   /** Confidence of a response that states none. */
   private static final int DEFAULT_CONFIDENCE = 100;
 
@@ -66,6 +73,18 @@
 
   /** Fails over to another upstream if this one is stalled and the budget allows a retry. */
   void checkProgress(long nowNanos) {
+    long silenceMillis = (nowNanos - lastReceivedNanos) / 1_000_000;
+    if (isStalled(nowNanos, 0)
+        && (!needsEvidence() || isConfirmed(silenceMillis))
+        && forwarder.tryRetryElsewhere()) {
+      failOver("no progress for " + silenceMillis + " ms");
+    } else if (needsEvidence() && isStalled(nowNanos, PROBE_LEAD_MILLIS)) {
+      // The result is there by the time at which it is needed.
+      evidence();
+    }
+  }
+
+  private boolean isStalled(long nowNanos, long leadMillis) {
     long silenceMillis = (nowNanos - lastReceivedNanos) / 1_000_000;
     long upstreamSilenceMillis =
         Math.min(ageMillis(), gateway.engineSelector.silenceMillis(instance.id(), nowNanos));
@@ -74,11 +93,29 @@
             relay.begun(),
             choice.prefillMillis(),
             gateway.engineSelector.outstanding(instance.id()) > 1,
-            silenceMillis,
-            upstreamSilenceMillis);
-    if (StallRule.isStalled(forwarder.route, progress) && forwarder.tryRetryElsewhere()) {
-      failOver("no progress for " + silenceMillis + " ms");
-    }
+            silenceMillis + leadMillis,
+            upstreamSilenceMillis + leadMillis);
+    return StallRule.isStalled(forwarder.route, progress);
+  }
+
+  /** Returns whether this host sees too little of an engine to judge it by its silence alone. */
+  private boolean needsEvidence() {
+    return forwarder.route.kind().streaming() && gateway.sharesEngines(forwarder.service);
+  }
+
+  private boolean isConfirmed(long silenceMillis) {
+    double usual =
+        gateway.firstEventTimes.quantile(
+            forwarder.service, USUAL_QUANTILE, gateway.clock.nanoTime());
+    return SilenceRule.moves(
+        forwarder.route, new SilenceRule.Silence(relay.begun(), silenceMillis, usual), evidence());
+  }
+
+  private SilenceRule.Evidence evidence() {
+    return gateway
+        .reachability
+        .map(reachability -> reachability.evidence(instance, lastReceivedNanos))
+        .orElse(SilenceRule.Evidence.UNREACHABLE);
   }
 
   /**
@@ -198,8 +235,16 @@
     forwarder.current = null;
     release();
     forwarder.history.recordMayHaveRun();
-    boolean ejected =
-        forwarder.route.kind().streaming() && gateway.health.recordUnreachable(instance.id());
+    boolean ejected = false;
+    if (needsEvidence() && evidence() == SilenceRule.Evidence.ACCEPTS_CONNECTIONS) {
+      gateway.health.recordAbandoned(instance.id());
+    } else {
+      ejected =
+          forwarder.route.kind().streaming() && gateway.health.recordUnreachable(instance.id());
+    }
+    if (!relay.begun()) {
+      gateway.firstEventTimes.record(forwarder.service, ageMillis(), gateway.clock.nanoTime());
+    }
     forwarder.abortCall(this, reason);
     forwarder.placement.recordFailure(instance);
     forwarder.history.recordSilent(instance.id());
@@ -244,7 +289,11 @@
       return;
     }
     try {
+      boolean begun = relay.begun();
       if (relay.relay(head, bytes, next)) {
+        if (!begun) {
+          gateway.firstEventTimes.record(forwarder.service, ageMillis(), gateway.clock.nanoTime());
+        }
         recordReceived();
       }
     } catch (CorruptStreamException e) {
--- a/server/src/main/java/org/clementinequay/server/gateway/GatewayHost.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/GatewayHost.java
@@ -83,6 +83,7 @@
     this.settings = settings;
     this.clock = clock;
     this.log = log;
+    UpstreamReachability reachability = new UpstreamReachability(clock, new ConnectProbe());
     this.gateway =
         Gateway.builder()
             .host(settings.name(), settings.domain())
@@ -93,6 +94,7 @@
             .observer(metrics::recordRouteRequest)
             .retryBudgets(this::newRetryBudget)
             .sessionIdleTime(seconds(settings.sessionSeconds()))
+            .reachability(reachability, this::listedHosts)
             .build();
     this.handler = new GatewayHandler(gateway);
     this.readinessHandler = new ReadinessHandler(gateway, metrics::scrape);
@@ -116,12 +118,17 @@
     PeerIdentity identity = newIdentity(settings);
     this.peers = newPeerNetwork(identity, registry);
     addStoreTasks(platform, new StoreReaderRole(identity, peers, clock, log));
+    addTask("reachability", reachability::step);
     addTask("watch", new RequestWatchdog(gateway)::step);
     HostEntry self =
         new HostEntry(settings.name(), "entry", settings.domain(), settings.peers(), false);
     addTask("registration", new HostRegistrationTask(registry, self, log)::step);
   }
 
+  private int listedHosts() {
+    return peers.listedHosts();
+  }
+
   /** Returns a window with this host's part of the retries that the deployment allows a service. */
   private RetryWindow newRetryBudget() {
     return new RetryWindow(
--- /dev/null
+++ b/server/src/main/java/org/clementinequay/server/gateway/UpstreamReachability.java
@@ -0,0 +1,74 @@
+package org.clementinequay.server.gateway;
+
+import java.time.Duration;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.BlockingQueue;
+import org.clementinequay.core.dispatch.SilenceRule.Evidence;
+import org.clementinequay.core.forward.UpstreamInstance;
+import org.clementinequay.core.time.RuntimeClock;
+
+/**
+ * Finds out by a connection whether silent upstreams are alive. Its task probes one upstream after
+ * another; while nothing is silent it does nothing.
+ */
+final class UpstreamReachability {
+  /** Maximum number of upstreams that wait for a probe; further ones are asked for again. */
+  private static final int MAX_PENDING = 64;
+
+  /** Maximum number of results that are kept; the oldest yields. */
+  private static final int MAX_RESULTS = 1024;
+
+  /** Age from which a result is renewed, in nanoseconds. */
+  private static final long RENEWAL_NANOS = 500_000_000L;
+
+  private final RuntimeClock clock;
+  private final UpstreamProbe probe;
+  private final BlockingQueue<UpstreamInstance> pending = new ArrayBlockingQueue<>(MAX_PENDING);
+  private final Map<String, Probed> results =
+      new LinkedHashMap<>() {
+        private static final long serialVersionUID = 1L;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, Probed> eldest) {
+          return size() > MAX_RESULTS;
+        }
+      };
+
+  private record Probed(long nanos, Evidence evidence) {}
+
+  UpstreamReachability(RuntimeClock clock, UpstreamProbe probe) {
+    this.clock = clock;
+    this.probe = probe;
+  }
+
+  /**
+   * Returns what is known of an upstream since the given time, and has it probed if that is nothing
+   * or old.
+   */
+  synchronized Evidence evidence(UpstreamInstance upstream, long sinceNanos) {
+    Probed probed = results.get(upstream.id());
+    boolean known = probed != null && probed.nanos() - sinceNanos >= 0;
+    if ((!known || clock.nanoTime() - probed.nanos() > RENEWAL_NANOS)
+        && !pending.contains(upstream)) {
+      pending.offer(upstream);
+    }
+    return known ? probed.evidence() : Evidence.NONE;
+  }
+
+  /** Probes the upstream that has waited longest, or waits for one. */
+  Duration step() throws InterruptedException {
+    UpstreamInstance upstream = pending.take();
+    long begun = clock.nanoTime();
+    Evidence evidence =
+        probe.probe(upstream.address()) == UpstreamProbe.Result.CONNECTED
+            ? Evidence.ACCEPTS_CONNECTIONS
+            : Evidence.UNREACHABLE;
+    synchronized (this) {
+      results.remove(upstream.id());
+      results.put(upstream.id(), new Probed(begun, evidence));
+    }
+    return Duration.ZERO;
+  }
+}
