--- a/server/src/main/java/org/clementinequay/server/gateway/UpstreamReachability.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/UpstreamReachability.java
@@ -57,6 +57,11 @@
     return known ? probed.evidence() : Evidence.NONE;
   }
 
+  /** Returns the number of upstreams that wait for a probe. */
+  int pendingProbes() {
+    return pending.size();
+  }
+
   /** Probes the upstream that has waited longest, or waits for one. */
   Duration step() throws InterruptedException {
     UpstreamInstance upstream = pending.take();
--- a/server/src/test/java/org/clementinequay/server/gateway/GatewayFixture.java
+++ b/server/src/test/java/org/clementinequay/server/gateway/GatewayFixture.java
@@ -39,6 +39,7 @@
   final RecordedResponse response = new RecordedResponse();
   private final List<RequestForwarder> forwarders = new ArrayList<>();
   final Gateway gateway;
+  final UpstreamReachability reachability;
   List<PromptPart> promptParts = List.of();
   long deadlineMillis = 5000;
   OptionalLong lastEventId = OptionalLong.empty();
@@ -50,8 +51,15 @@
 
   /** Creates a gateway; without a sender, attempts are recorded in {@link #sent}. */
   GatewayFixture(UpstreamSender sender) {
+    this(sender, null);
+  }
+
+  /** Creates a gateway; with a probe, many hosts share the engines. */
+  GatewayFixture(UpstreamSender sender, UpstreamProbe probe) {
+    reachability = probe == null ? null : new UpstreamReachability(clock, probe);
     gateway =
         Gateway.builder()
+            .reachability(reachability, () -> 100)
             .host("h1", "d")
             .clock(clock)
             .protocol(new Protocol())
