Let requests wait in the host while all their upstreams are full

Cause: a request that its last allowed upstream rejected as full was rejected at once, also if there was room a moment later; what could not be in time was sent all the same; Retry-After was a constant. Change: core.admission decides start, wait or reject, orders what waits by priority and deadline, pauses offers to full upstreams and spreads the returns of rejected callers. The setting maxWaitingRequests turns it on; a gauge counts what waits. Ruled out: counting an upstream that rejected a request and gets it again as another attempt: it is the same server, and the retry budget bounds the offers.

--- a/server/src/main/java/org/clementinequay/server/gateway/AttemptHistory.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/AttemptHistory.java
@@ -10,6 +10,9 @@
   /** Upstreams that were given up for silence alone; they may be sound and go on. */
   private final Set<String> silent = new HashSet<>();
 
+  /** Upstreams that rejected the request; they may be offered it again without a new attempt. */
+  private final Set<String> rejected = new HashSet<>();
+
   private int count;
   private boolean mayHaveRun;
 
@@ -33,7 +36,9 @@
   }
 
   void recordStart(String upstreamId) {
-    count++;
+    if (!rejected.remove(upstreamId)) {
+      count++;
+    }
     tried.add(upstreamId);
   }
 
@@ -43,13 +48,20 @@
   }
 
   /** Records that the upstream of the last attempt did not run the request. */
-  void recordRejected() {
-    if (!silent.isEmpty()) {
+  void recordRejected(String upstreamId) {
+    if (silent.isEmpty()) {
+      rejected.add(upstreamId);
+    } else {
       // Otherwise the rejections of full upstreams would use up the attempts of the request.
       count--;
     }
   }
 
+  /** Returns the upstreams that rejected the request and were not offered it again. */
+  Set<String> rejected() {
+    return rejected;
+  }
+
   /**
    * Records that an upstream was given up for silence. It is tried again if no other upstream takes
    * the request: silence alone must not end an answer.
@@ -68,6 +80,7 @@
   /** Allows all upstreams again, for instance with another model. */
   void forgetTried() {
     tried.clear();
+    rejected.clear();
   }
 
   /** Returns the status of a failure: 503 promises that the request has not run. */
--- a/server/src/main/java/org/clementinequay/server/gateway/Gateway.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/Gateway.java
@@ -15,6 +15,8 @@
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import org.clementinequay.core.admission.FirstEventTimes;
+import org.clementinequay.core.admission.FullUpstreams;
+import org.clementinequay.core.admission.WaitingRequests;
 import org.clementinequay.core.dispatch.RetryWindow;
 import org.clementinequay.core.dispatch.UpstreamHealthTracker;
 import org.clementinequay.core.forward.ForwardingConfiguration;
@@ -68,6 +70,11 @@
 
   final FirstEventTimes firstEventTimes = new FirstEventTimes();
 
+  final FullUpstreams fullUpstreams = new FullUpstreams();
+
+  /** Requests that wait for room; none does unless the settings allow it. */
+  final WaitingRequests<RequestForwarder> waiting;
+
   /** Probes of silent upstreams; without them silence alone moves a request. */
   final Optional<UpstreamReachability> reachability;
 
@@ -99,6 +106,7 @@
     this.sessions = new SessionVersions(builder.sessionIdleTime);
     this.health = new UpstreamHealthTracker(clock, MAX_PROBE_DELAY);
     this.crashGuard = new CrashGuard(clock);
+    this.waiting = new WaitingRequests<>(builder.maxWaitingRequests);
     this.reachability = Optional.ofNullable(builder.reachability);
     this.listedHosts = builder.listedHosts;
   }
@@ -145,6 +153,7 @@
     available = directory.available();
     engineSelector.retain(directory.ids());
     health.retain(directory.ids());
+    fullUpstreams.retain(directory.ids());
     for (UpstreamInstance instance : changes.added()) {
       log.record(
           "upstream",
@@ -205,6 +214,13 @@
         || admission.admits(clock.nanoTime(), receivedNanos, limit, durations.usual(route.name()));
   }
 
+  /** Lets the waiting requests start, in their order, as far as there is room. */
+  void recheckWaiting() {
+    if (waiting.size() > 0) {
+      waiting.inOrder().forEach(RequestForwarder::checkRoom);
+    }
+  }
+
   /** Returns whether an upstream is listed and not leaving. */
   boolean accepts(UpstreamInstance instance) {
     return available(instance.service()).stream().anyMatch(instance::isSameProcess);
@@ -285,6 +301,7 @@
     private Supplier<RetryWindow> budgetFactory;
     private Duration sessionIdleTime;
     private UpstreamReachability reachability;
+    private int maxWaitingRequests;
     private IntSupplier listedHosts = () -> 1;
 
     private Builder() {}
@@ -341,6 +358,12 @@
       return this;
     }
 
+    /** Sets how many requests may wait for room; by default none. */
+    public Builder maxWaitingRequests(int value) {
+      maxWaitingRequests = value;
+      return this;
+    }
+
     /**
      * Sets the probes of silent upstreams; by default there are none.
      *
--- a/server/src/main/java/org/clementinequay/server/gateway/GatewayAttempt.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/GatewayAttempt.java
@@ -135,6 +135,7 @@
         recordTokenTime();
       }
       gateway.engineSelector.recordEnd(instance.id(), choice.workMillis());
+      forwarder.openCalls.add(gateway::recheckWaiting);
     }
   }
 
@@ -191,6 +192,9 @@
       attemptRejected();
       return;
     }
+    if (head.success()) {
+      gateway.fullUpstreams.recordRoom(instance.id());
+    }
     if (relaying && !forwarder.committed && forwarder.placement.hasLargerModel()) {
       escalate();
     }
@@ -398,9 +402,11 @@
       forwarder.history.recordNotSent();
     } else {
       gateway.health.recordAbandoned(instance.id());
-      forwarder.history.recordRejected();
+      forwarder.history.recordRejected(instance.id());
+      gateway.fullUpstreams.recordFull(
+          instance.id(), gateway.random.nextDouble(), gateway.clock.nanoTime());
     }
-    forwarder.retryOrFail(AttemptEnd.NOT_RUN, "the upstreams are full");
+    forwarder.retryAfterRejection();
   }
 
   private void upstreamFailed() {
--- a/server/src/main/java/org/clementinequay/server/gateway/GatewayHost.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/GatewayHost.java
@@ -94,6 +94,7 @@
             .observer(metrics::recordRouteRequest)
             .retryBudgets(this::newRetryBudget)
             .sessionIdleTime(seconds(settings.sessionSeconds()))
+            .maxWaitingRequests(settings.waitingRequests())
             .reachability(reachability, this::listedHosts)
             .build();
     this.handler = new GatewayHandler(gateway);
@@ -106,6 +107,7 @@
       JettyFactory.addListener(readyServer, host, settings.metrics());
     }
     metrics.registerGauge("clementinequay_open_requests", handler::openRequests);
+    metrics.registerGauge("clementinequay_waiting_requests", gateway.waiting::size);
     metrics.registerGauge("clementinequay_log_dropped", log::dropped);
     metrics.registerGauge(
         "clementinequay_configuration_version",
--- a/server/src/main/java/org/clementinequay/server/gateway/GatewaySettings.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/GatewaySettings.java
@@ -3,8 +3,10 @@
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.core.json.JsonReadFeature;
 import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectReader;
 import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.google.common.flogger.FluentLogger;
 import java.util.ArrayList;
 import java.util.List;
 
@@ -29,6 +31,8 @@
  *     new request; 2000 if it is absent
  * @param configurationMillis milliseconds after which a change by the operator must be in force;
  *     2000 if it is absent
+ * @param maxWaitingRequests how many requests may wait in this host while all upstreams that may
+ *     take them are full; none if it is absent or no whole number from 0 to 10000
  */
 public record GatewaySettings(
     String name,
@@ -46,7 +50,13 @@
     double retryWindowSeconds,
     double sessionSeconds,
     Long drainMillis,
-    Long configurationMillis) {
+    Long configurationMillis,
+    JsonNode maxWaitingRequests) {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+  /** Largest number of requests that may wait; each keeps its body in memory. */
+  private static final int WAITING_REQUESTS_LIMIT = 10_000;
+
   /** Value of the times that the settings leave out, in milliseconds. */
   private static final long DEFAULT_MILLIS = 2000;
 
@@ -93,6 +103,23 @@
     return settings;
   }
 
+  /** Returns how many requests may wait; a value that makes no sense is logged and read as 0. */
+  public int waitingRequests() {
+    if (maxWaitingRequests == null || maxWaitingRequests.isNull()) {
+      return 0;
+    }
+    if (!maxWaitingRequests.isIntegralNumber()
+        || !maxWaitingRequests.canConvertToInt()
+        || maxWaitingRequests.intValue() < 0
+        || maxWaitingRequests.intValue() > WAITING_REQUESTS_LIMIT) {
+      logger.atWarning().log(
+          "maxWaitingRequests: is no whole number from 0 to %s, no request waits: %s",
+          WAITING_REQUESTS_LIMIT, maxWaitingRequests);
+      return 0;
+    }
+    return maxWaitingRequests.intValue();
+  }
+
   private static void requirePresent(List<String> findings, String field, String value) {
     if (value == null || value.isBlank()) {
       findings.add(field + ": is missing");
--- a/server/src/main/java/org/clementinequay/server/gateway/RequestClock.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/RequestClock.java
@@ -30,6 +30,10 @@
     return nanos - receivedNanos;
   }
 
+  long deadlineNanos() {
+    return deadlineNanos;
+  }
+
   long remainingMillis() {
     return (deadlineNanos - clock.nanoTime()) / 1_000_000;
   }
--- a/server/src/main/java/org/clementinequay/server/gateway/RequestForwarder.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/RequestForwarder.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
+import org.clementinequay.core.admission.AdmissionPolicy;
 import org.clementinequay.core.dispatch.EventSplitter;
 import org.clementinequay.core.forward.AccountKeys;
 import org.clementinequay.core.forward.ForwardingConfiguration;
@@ -213,10 +214,14 @@
       reject(rejection.get());
       return;
     }
-    Optional<AttemptPlacement.Selection> selection = placement.select(history.tried());
+    Optional<AttemptPlacement.Selection> selection = placement.select(admission.excluded());
     if (selection.isEmpty()) {
       selection = placement.selectAgain(history.takeSilent());
     }
+    if (selection.isEmpty() && admission.canWait() && placement.hasCandidate(history.tried())) {
+      waitForRoom();
+      return;
+    }
     if (selection.isEmpty()) {
       fail(history.failureStatus(), "no upstream is available");
       return;
@@ -224,9 +229,79 @@
     send(selection.get().instance(), selection.get().choice());
   }
 
+  /** Offers the request, which an upstream rejected, to another one, or lets it wait for room. */
+  void retryAfterRejection() {
+    if (!admission.canWait() || canAttemptAgain() && placement.hasCandidate(admission.excluded())) {
+      retryOrFail(AttemptEnd.NOT_RUN, "the upstreams are full");
+    } else {
+      waitForRoom();
+    }
+  }
+
+  private void waitForRoom() {
+    if (admission.decide(false) == AdmissionPolicy.Decision.REJECT || !admission.canFinish()) {
+      reject(admission.fullRejection());
+      return;
+    }
+    admission.recordWaiting();
+    log("waits", "attempts", history.count(), "waiting", gateway.waiting.size());
+    gateway
+        .waiting
+        .add(this, urgency(), times.deadlineNanos())
+        .ifPresent(last -> openCalls.add(last::yieldRoom));
+  }
+
+  /** Ends the request, which waited, because others that come first take its place. */
+  private void yieldRoom() {
+    update(
+        () -> {
+          if (!finished && current == null) {
+            reject(admission.fullRejection());
+          }
+        });
+  }
+
+  /** Starts the request, which waits, if there is room, or rejects it if it waited too long. */
+  void checkRoom() {
+    update(
+        () -> {
+          if (finished || current != null) {
+            return;
+          }
+          boolean other = canAttemptAgain() && placement.hasCandidate(admission.excluded());
+          AdmissionPolicy.Decision decision =
+              admission.decide(other || !admission.offeredAgain().isEmpty());
+          if (decision == AdmissionPolicy.Decision.WAIT) {
+            return;
+          }
+          gateway.waiting.remove(this);
+          if (decision == AdmissionPolicy.Decision.REJECT
+              || history.count() > 0 && !gateway.tryRetry(service)) {
+            reject(admission.fullRejection());
+          } else if (other) {
+            startAttempt();
+          } else {
+            offerAgain();
+          }
+        });
+  }
+
+  private void offerAgain() {
+    Optional<AdmissionStep.Rejection> rejection = admission.rejection();
+    if (rejection.isPresent()) {
+      reject(rejection.get());
+      return;
+    }
+    placement
+        .selectAgain(admission.offeredAgain())
+        .ifPresentOrElse(
+            selection -> send(selection.instance(), selection.choice()), this::waitForRoom);
+  }
+
   private void send(UpstreamInstance instance, EngineSelector.Choice choice) {
     long remaining = times.remainingMillis();
     history.recordStart(instance.id());
+    gateway.fullUpstreams.recordOffer(instance.id(), gateway.clock.nanoTime());
     GatewayAttempt attempt = new GatewayAttempt(this, instance, choice);
     current = attempt;
     boolean streaming = route.kind().streaming();
@@ -419,6 +494,7 @@
         firstEventNanos == 0 ? 0 : times.elapsedNanosAt(firstEventNanos),
         times.elapsedNanos());
     gateway.activeRequests.remove(this);
+    gateway.waiting.remove(this);
     onFinished.run();
   }
 
--- a/server/src/main/java/org/clementinequay/server/gateway/RequestWatchdog.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/RequestWatchdog.java
@@ -38,6 +38,7 @@
     }
     started = true;
     lastCheckNanos = now;
+    gateway.recheckWaiting();
     boolean checkProgress = now - checkProgressFromNanos >= 0;
     for (RequestForwarder forwarder : gateway.activeRequests) {
       try {
--- a/server/src/test/java/org/clementinequay/server/gateway/GatewayFixture.java
+++ b/server/src/test/java/org/clementinequay/server/gateway/GatewayFixture.java
@@ -54,11 +54,21 @@
     this(sender, null);
   }
 
+  /** Creates a gateway in which some requests may wait for room. */
+  GatewayFixture(int maxWaitingRequests) {
+    this(null, null, maxWaitingRequests);
+  }
+
   /** Creates a gateway; with a probe, many hosts share the engines. */
   GatewayFixture(UpstreamSender sender, UpstreamProbe probe) {
+    this(sender, probe, 0);
+  }
+
+  private GatewayFixture(UpstreamSender sender, UpstreamProbe probe, int maxWaitingRequests) {
     reachability = probe == null ? null : new UpstreamReachability(clock, probe);
     gateway =
         Gateway.builder()
+            .maxWaitingRequests(maxWaitingRequests)
             .reachability(reachability, () -> 100)
             .host("h1", "d")
             .clock(clock)
@@ -156,6 +166,10 @@
     return forwarder;
   }
 
+  RequestForwarder forwarder() {
+    return forwarders.get(0);
+  }
+
   /** Fails if the current thread holds the lock of a forwarder. */
   private void checkOpenCall() {
     for (RequestForwarder forwarder : forwarders) {
@@ -178,6 +192,7 @@
     final HttpFields headers;
     private final UpstreamListener listener;
     boolean abandoned;
+    boolean answered;
 
     private SentAttempt(HttpFields headers, UpstreamListener listener) {
       this.headers = headers;
@@ -189,6 +204,7 @@
     }
 
     void respond(int status, HttpFields fields, String body) {
+      answered = true;
       listener.headers(status, fields);
       sendContent(body);
       listener.ended();
