--- a/core/src/main/java/org/clementinequay/core/dispatch/SilenceRule.java
+++ b/core/src/main/java/org/clementinequay/core/dispatch/SilenceRule.java
@@ -32,7 +32,7 @@
     NONE {
       @Override
       boolean confirms(Route route, Silence silence) {
-        return false;
+        return ACCEPTS_CONNECTIONS.confirms(route, silence);
       }
     },
     /** A process accepts connections at its address. */
--- a/server/src/main/java/org/clementinequay/server/gateway/AdmissionStep.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/AdmissionStep.java
@@ -57,7 +57,7 @@
     if (gateway.waiting.enabled()
         && history.count() == 0
         && decide(true) == AdmissionPolicy.Decision.REJECT) {
-      return Optional.of(fullRejection());
+      return Optional.of(roomRejection("no answer would come in time"));
     }
     return quarantined().map(this::quarantineRejection);
   }
@@ -121,7 +121,8 @@
     return result;
   }
 
-  Rejection fullRejection() {
+  /** Returns the rejection for want of room, with the time at which the caller is to come back. */
+  Rejection roomRejection(String reason) {
     long now = gateway.clock.nanoTime();
     List<String> ids =
         gateway.available(forwarder.service).stream().map(UpstreamInstance::id).toList();
@@ -132,7 +133,7 @@
             gateway.firstEventTimes.quantile(forwarder.service, USUAL_QUANTILE, now),
             forwarder.times.remainingMillis(),
             gateway.random.nextDouble());
-    return new Rejection(forwarder.history.failureStatus(), "the upstreams are full", millis / 1e3);
+    return new Rejection(forwarder.history.failureStatus(), reason, millis / 1e3);
   }
 
   /** Returns how long a part of the prompt stays in quarantine; empty if none is. */
--- a/server/src/main/java/org/clementinequay/server/gateway/GatewayAttempt.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/GatewayAttempt.java
@@ -2,6 +2,7 @@
 
 import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
+import java.util.Locale;
 import org.clementinequay.core.cascade.EscalationRule;
 import org.clementinequay.core.dispatch.CorruptStreamException;
 import org.clementinequay.core.dispatch.SilenceRule;
@@ -259,6 +260,8 @@
         instance.id(),
         "reason",
         reason,
+        "evidence",
+        needsEvidence() ? evidence().name().toLowerCase(Locale.ROOT) : "",
         "ejected",
         ejected,
         "age_ms",
--- a/server/src/main/java/org/clementinequay/server/gateway/RequestForwarder.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/RequestForwarder.java
@@ -32,6 +32,8 @@
   /** Time past the deadline in which an upstream may still report its timeout, in milliseconds. */
   static final long DEADLINE_GRACE_MILLIS = 100;
 
+  private static final String FULL = "the upstreams are full";
+
   final Gateway gateway;
   final GatewayRequest request;
   final Route route;
@@ -232,7 +234,7 @@
   /** Offers the request, which an upstream rejected, to another one, or lets it wait for room. */
   void retryAfterRejection() {
     if (!admission.canWait() || canAttemptAgain() && placement.hasCandidate(admission.excluded())) {
-      retryOrFail(AttemptEnd.NOT_RUN, "the upstreams are full");
+      retryOrFail(AttemptEnd.NOT_RUN, FULL);
     } else {
       waitForRoom();
     }
@@ -240,7 +242,7 @@
 
   private void waitForRoom() {
     if (admission.decide(false) == AdmissionPolicy.Decision.REJECT || !admission.canFinish()) {
-      reject(admission.fullRejection());
+      reject(admission.roomRejection(FULL));
       return;
     }
     admission.recordWaiting();
@@ -256,7 +258,7 @@
     update(
         () -> {
           if (!finished && current == null) {
-            reject(admission.fullRejection());
+            reject(admission.roomRejection(FULL));
           }
         });
   }
@@ -277,7 +279,7 @@
           gateway.waiting.remove(this);
           if (decision == AdmissionPolicy.Decision.REJECT
               || history.count() > 0 && !gateway.tryRetry(service)) {
-            reject(admission.fullRejection());
+            reject(admission.roomRejection(FULL));
           } else if (other) {
             startAttempt();
           } else {
