Probe all silent upstreams at the same time

Cause: if a failure domain is cut off, all of its upstreams fall silent at once, and probes of 0.1 s each, one after another, would delay the move of their streams by seconds. Ruled out: a thread for each probe, for the memory of small hosts.

--- a/server/src/main/java/org/clementinequay/server/gateway/UpstreamProbe.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/UpstreamProbe.java
@@ -1,5 +1,9 @@
 package org.clementinequay.server.gateway;
 
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.Map;
+
 /** Finds out whether the process of an upstream is alive. */
 interface UpstreamProbe {
   /** What a connection to an upstream showed. */
@@ -14,4 +18,11 @@
 
   /** Opens a connection to an address ({@code host:port}) and closes it at once. */
   Result probe(String address);
+
+  /** Probes several addresses; implementations may do so at the same time. */
+  default Map<String, Result> probeAll(Collection<String> addresses) {
+    Map<String, Result> results = new HashMap<>();
+    addresses.forEach(address -> results.computeIfAbsent(address, this::probe));
+    return results;
+  }
 }
--- a/server/src/main/java/org/clementinequay/server/gateway/UpstreamReachability.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/UpstreamReachability.java
@@ -1,7 +1,9 @@
 package org.clementinequay.server.gateway;
 
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
@@ -10,8 +12,8 @@
 import org.clementinequay.core.time.RuntimeClock;
 
 /**
- * Finds out by a connection whether silent upstreams are alive. Its task probes one upstream after
- * another; while nothing is silent it does nothing.
+ * Finds out by a connection whether silent upstreams are alive. Its task probes those that wait at
+ * the same time; while nothing is silent it does nothing.
  */
 final class UpstreamReachability {
   /** Maximum number of upstreams that wait for a probe; further ones are asked for again. */
@@ -62,18 +64,26 @@
     return pending.size();
   }
 
-  /** Probes the upstream that has waited longest, or waits for one. */
+  /** Waits for an upstream to probe, and probes it with all others that wait. */
   Duration step() throws InterruptedException {
-    UpstreamInstance upstream = pending.take();
+    List<UpstreamInstance> upstreams = new ArrayList<>();
+    upstreams.add(pending.take());
+    pending.drainTo(upstreams);
     long begun = clock.nanoTime();
-    Evidence evidence =
-        probe.probe(upstream.address()) == UpstreamProbe.Result.CONNECTED
-            ? Evidence.ACCEPTS_CONNECTIONS
-            : Evidence.UNREACHABLE;
+    Map<String, UpstreamProbe.Result> probed =
+        probe.probeAll(upstreams.stream().map(UpstreamInstance::address).toList());
     synchronized (this) {
-      results.remove(upstream.id());
-      results.put(upstream.id(), new Probed(begun, evidence));
+      for (UpstreamInstance upstream : upstreams) {
+        results.remove(upstream.id());
+        results.put(upstream.id(), new Probed(begun, evidenceOf(probed.get(upstream.address()))));
+      }
     }
     return Duration.ZERO;
   }
+
+  private static Evidence evidenceOf(UpstreamProbe.Result result) {
+    return result == UpstreamProbe.Result.CONNECTED
+        ? Evidence.ACCEPTS_CONNECTIONS
+        : Evidence.UNREACHABLE;
+  }
 }
