--- a/server/src/main/java/org/clementinequay/server/gateway/GatewayHost.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/GatewayHost.java
@@ -90,6 +90,7 @@
     this.settings = settings;
     this.clock = clock;
     this.log = log;
+    UpstreamReachability reachability = new UpstreamReachability(clock, new ConnectProbe());
     this.gateway =
         Gateway.builder()
             .host(settings.name(), settings.domain())
@@ -102,6 +103,8 @@
             .sessionIdleTime(seconds(settings.sessionSeconds()))
             .regions(settings.regions())
             .coldStarts(newColdStartLimiter(settings))
+            .maxWaitingRequests(settings.waitingRequests())
+            .reachability(reachability, this::listedHosts)
             .build();
     this.handler = new GatewayHandler(gateway);
     this.readinessHandler = new ReadinessHandler(gateway, metrics::scrape);
@@ -113,6 +116,7 @@
       JettyFactory.addListener(readyServer, host, settings.metrics());
     }
     metrics.registerGauge("clementinequay_open_requests", handler::openRequests);
+    metrics.registerGauge("clementinequay_waiting_requests", gateway.waiting::size);
     metrics.registerGauge("clementinequay_log_dropped", log::dropped);
     metrics.registerGauge(
         "clementinequay_configuration_version",
@@ -133,6 +137,7 @@
     PeerIdentity identity = newIdentity(settings);
     this.peers = newPeerNetwork(identity, registry);
     addStoreTasks(platform, new StoreReaderRole(identity, peers, clock, log));
+    addTask("reachability", reachability::step);
     addTask("watch", new RequestWatchdog(gateway)::step);
     HostEntry self =
         new HostEntry(settings.name(), "entry", settings.domain(), settings.peers(), false);
@@ -140,6 +145,10 @@
     addTask("registration", new HostRegistrationTask(registry, self, log)::step);
   }
 
+  private int listedHosts() {
+    return peers.listedHosts();
+  }
+
   /** Returns a window with this host's part of the retries that the deployment allows a service. */
   private RetryWindow newRetryBudget() {
     return new RetryWindow(
--- a/server/src/main/java/org/clementinequay/server/gateway/GatewaySettings.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/GatewaySettings.java
@@ -3,8 +3,10 @@
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.core.json.JsonReadFeature;
 import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectReader;
 import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.google.common.flogger.FluentLogger;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -37,6 +39,8 @@
  * @param evacuationMillis milliseconds after which the upstreams of an evacuated failure domain
  *     must get no new request; {@code configurationMillis} if it is absent
  * @param regions region of each failure domain by its name; only that of this host if absent
+ * @param maxWaitingRequests how many requests may wait in this host while all upstreams that may
+ *     take them are full; none if it is absent or no whole number from 0 to 10000
  */
 public record GatewaySettings(
     String name,
@@ -58,7 +62,13 @@
     Double coldRequestFactor,
     Double coldRequestExtra,
     Long evacuationMillis,
-    Map<String, String> regions) {
+    Map<String, String> regions,
+    JsonNode maxWaitingRequests) {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+  /** Largest number of requests that may wait; each keeps its body in memory. */
+  private static final int WAITING_REQUESTS_LIMIT = 10_000;
+
   /** Value of the times that the settings leave out, in milliseconds. */
   private static final long DEFAULT_MILLIS = 2000;
 
@@ -124,6 +134,23 @@
     return settings;
   }
 
+  /** Returns how many requests may wait; a value that makes no sense is logged and read as 0. */
+  public int waitingRequests() {
+    if (maxWaitingRequests == null || maxWaitingRequests.isNull()) {
+      return 0;
+    }
+    if (!maxWaitingRequests.isIntegralNumber()
+        || !maxWaitingRequests.canConvertToInt()
+        || maxWaitingRequests.intValue() < 0
+        || maxWaitingRequests.intValue() > WAITING_REQUESTS_LIMIT) {
+      logger.atWarning().log(
+          "maxWaitingRequests: is no whole number from 0 to %s, no request waits: %s",
+          WAITING_REQUESTS_LIMIT, maxWaitingRequests);
+      return 0;
+    }
+    return maxWaitingRequests.intValue();
+  }
+
   private static void requirePresent(List<String> findings, String field, String value) {
     if (value == null || value.isBlank()) {
       findings.add(field + ": is missing");
--- a/server/src/test/java/org/clementinequay/server/gateway/AcceptedUpstreamsTest.java
+++ b/server/src/test/java/org/clementinequay/server/gateway/AcceptedUpstreamsTest.java
@@ -110,7 +110,7 @@
     public void start() {
       ColdStartLimiter limiter =
           new ColdStartLimiter("h1", Optional.of(new ColdStartBound(0.5, 0)));
-      fixture = new GatewayFixture(null, builder -> builder.coldStarts(limiter));
+      fixture = GatewayFixture.with(builder -> builder.coldStarts(limiter));
       limiter.addMembers(List.of("h1"), fixture.clock.nanoTime());
       fixture.clock.advance(SETTLED);
       fixture.gateway.updateInstances(List.of(instance("a", "x", 0), instance("b", "y", 0)));
@@ -178,7 +178,7 @@
     @Test
     public void requestStaysInItsRegionsOrIsRefused() {
       GatewayFixture fixture =
-          new GatewayFixture(null, builder -> builder.regions(Map.of("x", "r1", "y", "r2")));
+          GatewayFixture.with(builder -> builder.regions(Map.of("x", "r1", "y", "r2")));
       fixture.gateway.updateInstances(
           List.of(instance("a", "x", 0), instance("b", "y", 0), instance("c", "unknown", 0)));
       fixture.allowedRegions = Set.of("r2");
