Choose engines by the load of all hosts and by the whole chain of cached parts

Cause: a host of 111 has a fraction of a request on each engine, so that its own sums are noise, and the speed of an engine is learned from a handful of answers; on engines of uneven speed all hosts then gather on the fast ones. Change: from a number of listed hosts on, the hosts of a failure domain report outstanding work and token times; a prefix goes to the engine that all hosts give it while the load there is bounded, then to the next, and the rest to the better of two random engines.

--- a/core/src/main/java/org/clementinequay/core/placement/EngineSelector.java
+++ b/core/src/main/java/org/clementinequay/core/placement/EngineSelector.java
@@ -1,21 +1,24 @@
 package org.clementinequay.core.placement;
 
+import java.util.ArrayList;
+import java.util.EnumMap;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import org.clementinequay.core.SplitMix64;
+import java.util.SplittableRandom;
+import java.util.random.RandomGenerator;
 
 /**
- * Tracks the outstanding work on each engine and selects the engine with the shortest estimated
- * completion time: this host's outstanding work plus the work of the request, divided by the
- * measured speed of the engine. An engine that has cached the shared prefix of the prompt has less
- * work to do. The estimate uses work instead of request counts, because counts say little when
- * prompts have long shared prefixes and engines differ in speed.
+ * Tracks the outstanding work on each engine and selects an engine for a request. The estimates use
+ * work instead of request counts, because counts say little when prompts have long shared prefixes
+ * and engines differ in speed: outstanding work plus the work of the request, divided by the
+ * measured speed of the engine. An engine that has cached the beginning of the prompt has less work
+ * to do.
  *
- * <p>The work of other hosts is left out on purpose: when hosts exchanged it, a burst at nine hosts
- * gathered on the engine that the last messages had reported as free. Thread-safe.
+ * <p>Without {@link #shareLoad} only this host's own work counts, see {@link
+ * SelectionRule#OWN_LOAD}: with few hosts and the best engine by exchanged sums, a burst gathered on
+ * the engine that the last messages had reported as free. Thread-safe.
  */
 public final class EngineSelector {
   /** Weight of a new sample in the moving average; follows a change within about ten answers. */
@@ -26,72 +29,135 @@
 
   private static final double MAX_RELATIVE_SPEED = 4;
 
-  /** Prompt prefixes remembered for each engine; the cache of an engine holds a few hundred. */
-  private static final int MAX_PREFIXES = 1024;
-
-  /**
-   * Fraction of the work saved by a cached prefix that is credited to the engine that all hosts
-   * prefer for this prefix, although this host has not seen that it holds the prefix.
-   */
-  private static final double PREFERRED_ENGINE_CREDIT = 0.5;
-
   private final Map<String, Engine> engines = new HashMap<>();
+  private final EngineLoadExchange exchange = new EngineLoadExchange();
+  private final Map<Basis, Integer> choices = new EnumMap<>(Basis.class);
+  private final RandomGenerator random;
+  private int otherHosts;
 
   /**
    * Chosen engine and the estimates behind the choice.
    *
-   * @param waitMillis time that the engine needs for this host's outstanding work
+   * @param waitMillis time that the engine needs for the known outstanding work
    * @param workMillis work of the request in engine milliseconds, reduced by a cached or credited
    *     prefix, and not scaled by the speed of the engine
    * @param prefillMillis time to read the prompt; excludes the wait, because requests that already
    *     run delay the prompt by less than their whole work
+   * @param tokens memory of the engine that the request occupies
    */
-  public record Choice(String engine, double waitMillis, double workMillis, double prefillMillis) {}
+  public record Choice(
+      String engine,
+      double waitMillis,
+      double workMillis,
+      double prefillMillis,
+      long tokens,
+      Basis basis) {}
+
+  /** What an engine was chosen for. */
+  public enum Basis {
+    /** The load of the engines, and what this host knows of their caches. */
+    LOAD,
+    /** All hosts send the beginning of the prompt there. */
+    PREFIX,
+    /** As before, but to another engine because the load of the first is too high. */
+    PREFIX_COPY
+  }
+
+  /** Creates a selector with a random generator of its own. */
+  public EngineSelector() {
+    this(new SplittableRandom());
+  }
+
+  public EngineSelector(RandomGenerator random) {
+    this.random = random;
+  }
 
   /**
-   * Chooses the engine with the shortest estimated completion time. Among equals, the first wins.
+   * Sets whether the work of other hosts counts.
+   *
+   * @param hosts number of other hosts; 0 if only this host's own work counts
+   */
+  public synchronized void shareLoad(int hosts) {
+    otherHosts = Math.max(0, hosts);
+  }
+
+  /** Returns the reports of other hosts, for the messages that carry them. */
+  public EngineLoadExchange exchange() {
+    return exchange;
+  }
+
+  /**
+   * Chooses an engine. Among equals, the first wins. Engines without room are left out if there are
+   * others.
    *
-   * @param prefixId id of the shared prompt prefix together with the model, or null if there is
-   *     none
    * @return the choice, or null if there are no candidates
    */
-  public synchronized Choice choose(List<String> candidates, EngineWork work, String prefixId) {
+  public synchronized Choice choose(
+      List<String> candidates, EngineWork work, PromptPrefix prompt, long nowNanos) {
+    PromptPrefix prefix = known(prompt);
+    long[] keys = prefix.keys();
+    Map<String, EngineLoadExchange.Others> others =
+        otherHosts > 0 ? exchange.others(otherHosts, nowNanos) : Map.of();
     double meanMillisPerToken = meanMillisPerToken(candidates);
-    String preferred = prefixId == null ? null : preferred(candidates, prefixId);
-    Choice best = null;
-    double bestMillis = 0;
+    List<SelectionRule.Estimate> all = new ArrayList<>(candidates.size());
+    List<SelectionRule.Estimate> withRoom = new ArrayList<>(candidates.size());
     for (String name : candidates) {
       Engine engine = engine(name);
-      boolean cached = prefixId != null && engine.prefixes.containsKey(prefixId);
-      double uncachedMillis = work.millis(false);
-      double creditedMillis = cached ? work.millis(true) : uncachedMillis;
-      if (!cached && name.equals(preferred)) {
-        creditedMillis -= PREFERRED_ENGINE_CREDIT * (uncachedMillis - work.millis(true));
-      }
+      EngineLoadExchange.Others load = others.getOrDefault(name, EngineLoadExchange.Others.NONE);
       double speed = engine.speed(meanMillisPerToken);
-      double wait = engine.outstandingMillis / speed;
-      double total = wait + creditedMillis / speed;
-      if (best == null || total < bestMillis) {
-        best = new Choice(name, wait, creditedMillis, work.prefillMillis(cached) / speed);
-        bestMillis = total;
+      int cached = engine.cache.cachedTokens(prefix, keys);
+      SelectionRule.Estimate estimate =
+          new SelectionRule.Estimate(
+              name,
+              speed,
+              (engine.outstandingMillis + load.workMillis()) / speed,
+              work.millis(cached),
+              work.prefillMillis(cached) / speed);
+      all.add(estimate);
+      if (work.fits(engine.outstandingTokens + load.tokens())) {
+        withRoom.add(estimate);
       }
     }
-    return best;
+    double millis = work.millis(0);
+    SelectionRule.Demand demand =
+        new SelectionRule.Demand(
+            prefix.isEmpty() ? 0 : keys[keys.length - 1],
+            millis,
+            millis - work.millis(prefix.tokens()));
+    SelectionRule rule = otherHosts > 0 ? SelectionRule.BOUNDED_LOAD : SelectionRule.OWN_LOAD;
+    SelectionRule.Selection best =
+        rule.choose(withRoom.isEmpty() ? all : withRoom, demand, random);
+    if (best == null) {
+      return null;
+    }
+    choices.merge(best.basis(), 1, Integer::sum);
+    return new Choice(
+        best.engine().name(),
+        best.engine().waitMillis(),
+        best.engine().workMillis(),
+        best.engine().prefillMillis(),
+        work.memoryTokens(),
+        best.basis());
+  }
+
+  /** Returns the prefix at the detail at which it is compared: by parts only with shared loads. */
+  private PromptPrefix known(PromptPrefix prefix) {
+    return otherHosts > 0 ? prefix : prefix.asOnePart();
   }
 
   /**
-   * Records that a run was sent to an engine.
+   * Records that a run was sent to the engine of a choice.
    *
-   * @param workMillis work of the run as in its {@link Choice}
-   * @param prefixId id of the prompt prefix that the engine now caches, or null if there is none
+   * @param prefix beginning of the prompt that the engine now caches
+   * @param memoryTokens memory of the engine, in tokens
    */
-  public synchronized void recordStart(String name, double workMillis, String prefixId) {
-    Engine engine = engine(name);
+  public synchronized void recordStart(Choice choice, PromptPrefix prefix, long memoryTokens) {
+    Engine engine = engine(choice.engine());
     engine.outstandingRuns++;
-    engine.outstandingMillis += workMillis;
-    if (prefixId != null) {
-      engine.prefixes.put(prefixId, true);
-    }
+    engine.outstandingMillis += choice.workMillis();
+    engine.outstandingTokens += choice.tokens();
+    // What the other hosts send there takes their share of the memory.
+    engine.cache.record(known(prefix), memoryTokens / (1 + otherHosts));
   }
 
   /**
@@ -99,11 +165,16 @@
    * has read its prompt and only generates still slows down the prompts that the engine reads at
    * the same time.
    */
-  public synchronized void recordEnd(String name, double workMillis) {
-    Engine engine = engine(name);
+  public synchronized void recordEnd(Choice choice) {
+    Engine engine = engine(choice.engine());
     engine.outstandingRuns = Math.max(0, engine.outstandingRuns - 1);
-    engine.outstandingMillis =
-        engine.outstandingRuns == 0 ? 0 : Math.max(0, engine.outstandingMillis - workMillis);
+    if (engine.outstandingRuns == 0) {
+      engine.outstandingMillis = 0;
+      engine.outstandingTokens = 0;
+    } else {
+      engine.outstandingMillis = Math.max(0, engine.outstandingMillis - choice.workMillis());
+      engine.outstandingTokens = Math.max(0, engine.outstandingTokens - choice.tokens());
+    }
   }
 
   /**
@@ -113,10 +184,44 @@
    */
   public synchronized void recordTokenTime(String name, double millisPerToken) {
     Engine engine = engine(name);
-    engine.millisPerToken =
-        engine.millisPerToken == 0
-            ? millisPerToken
-            : engine.millisPerToken + SAMPLE_WEIGHT * (millisPerToken - engine.millisPerToken);
+    engine.recordTokenTime(millisPerToken, SAMPLE_WEIGHT);
+    engine.newSamples++;
+    engine.newSamplesMillis += millisPerToken;
+  }
+
+  /** Returns this host's sums by engine for a report; the samples count from the last call on. */
+  public synchronized List<EngineLoadExchange.EngineSum> takeSums() {
+    List<EngineLoadExchange.EngineSum> sums = new ArrayList<>();
+    engines.forEach(
+        (name, engine) -> {
+          double mean = engine.newSamples == 0 ? 0 : engine.newSamplesMillis / engine.newSamples;
+          sums.add(
+              new EngineLoadExchange.EngineSum(
+                  name,
+                  engine.outstandingMillis,
+                  engine.outstandingTokens,
+                  engine.newSamples,
+                  mean));
+          engine.newSamples = 0;
+          engine.newSamplesMillis = 0;
+        });
+    return sums;
+  }
+
+  /** Merges a report of another host, see {@link EngineLoadExchange#merge}. */
+  public synchronized void mergeReport(
+      String source,
+      int hosts,
+      boolean full,
+      List<EngineLoadExchange.EngineSum> sums,
+      long nowNanos) {
+    for (EngineLoadExchange.EngineSum sum : exchange.merge(source, hosts, full, sums, nowNanos)) {
+      Engine engine = engines.get(sum.engine());
+      if (sum.samples() > 0 && sum.millisPerToken() > 0 && engine != null) {
+        double weight = 1 - Math.pow(1 - SAMPLE_WEIGHT, sum.samples());
+        engine.recordTokenTime(sum.millisPerToken(), weight);
+      }
+    }
   }
 
   /** Records that this host received data from an engine. */
@@ -134,14 +239,29 @@
     return engine.everReceived ? (nowNanos - engine.lastReceivedNanos) / 1_000_000 : Long.MAX_VALUE;
   }
 
+  /** Returns the number of choices on a basis. */
+  public synchronized int choices(Basis basis) {
+    return choices.getOrDefault(basis, 0);
+  }
+
   /** Returns the number of this host's runs that an engine has not finished. */
   public synchronized int outstanding(String name) {
     return engine(name).outstandingRuns;
   }
 
+  /** Records the start of an engine's process; a new process has cached nothing. */
+  public synchronized void recordProcess(String name, long startMillis) {
+    Engine engine = engine(name);
+    if (engine.startMillis != startMillis) {
+      engine.startMillis = startMillis;
+      engine.cache.clear();
+    }
+  }
+
   /** Removes the state of all engines that are not among the given names. */
   public synchronized void retain(Set<String> names) {
     engines.keySet().retainAll(names);
+    exchange.retain(names);
   }
 
   private Engine engine(String name) {
@@ -161,40 +281,22 @@
     return count == 0 ? 0 : sum / count;
   }
 
-  /** Uses rendezvous hashing, so that all hosts prefer the same engine for a prefix. */
-  private static String preferred(List<String> candidates, String prefixId) {
-    String best = null;
-    long bestHash = 0;
-    for (String name : candidates) {
-      long hash =
-          SplitMix64.mix(
-              prefixId.hashCode() * 0x9e3779b97f4a7c15L ^ SplitMix64.mix(name.hashCode()));
-      if (best == null || hash > bestHash) {
-        best = name;
-        bestHash = hash;
-      }
-    }
-    return best;
-  }
-
   private static final class Engine {
-    /** Most recently used prefixes; like the engine, it drops the least recently used one first. */
-    private final Map<String, Boolean> prefixes =
-        new LinkedHashMap<>(16, 0.75f, true) {
-          private static final long serialVersionUID = 1L;
-
-          @Override
-          protected boolean removeEldestEntry(Map.Entry<String, Boolean> eldest) {
-            return size() > MAX_PREFIXES;
-          }
-        };
-
+    private final PrefixCache cache = new PrefixCache();
     private int outstandingRuns;
     private double outstandingMillis;
+    private long outstandingTokens;
     private double millisPerToken;
+    private int newSamples;
+    private double newSamplesMillis;
+    private long startMillis;
     private long lastReceivedNanos;
     private boolean everReceived;
 
+    private void recordTokenTime(double sample, double weight) {
+      millisPerToken = millisPerToken == 0 ? sample : millisPerToken + weight * (sample - millisPerToken);
+    }
+
     private double speed(double meanMillisPerToken) {
       if (millisPerToken == 0 || meanMillisPerToken == 0) {
         return 1;
--- a/server/src/main/java/org/clementinequay/server/gateway/AttemptPlacement.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/AttemptPlacement.java
@@ -11,6 +11,7 @@
 import org.clementinequay.core.forward.UpstreamInstance;
 import org.clementinequay.core.placement.EngineSelector;
 import org.clementinequay.core.placement.EngineWork;
+import org.clementinequay.core.placement.PromptPrefix;
 import org.clementinequay.core.rollout.TrafficShift;
 
 /** Chooses the upstream and the model for each attempt of one request. */
@@ -66,7 +67,7 @@
    */
   double largestModelPromptMillis() {
     String largest = route.modelsBySize().get(route.modelsBySize().size() - 1);
-    return engineWork(weight(largest)).prefillMillis(false);
+    return engineWork(weight(largest)).prefillMillis(0);
   }
 
   /** Returns the number of tokens per event of a stream; 1 if the service has no engine profile. */
@@ -74,11 +75,26 @@
     return engineProfile().map(EngineProfile::tokensPerEvent).orElse(1);
   }
 
-  /**
-   * Returns the key of the prompt prefix in an engine's cache: model and last shared part, or null.
-   */
-  String prefixId() {
-    return request.lastSharedPart().map(part -> model().orElse("") + '/' + part.id()).orElse(null);
+  private PromptPrefix prefix() {
+    if (!gateway.promptCache) {
+      return PromptPrefix.none();
+    }
+    List<PromptPrefix.Part> parts =
+        request.promptParts().stream()
+            .limit(Math.max(0, request.promptParts().size() - 1))
+            .map(part -> new PromptPrefix.Part(part.id(), part.tokens()))
+            .toList();
+    return new PromptPrefix(model().orElse(""), parts);
+  }
+
+  /** Records that the request is sent to the engine of a choice. */
+  void recordStart(EngineSelector.Choice choice) {
+    gateway.engineSelector.recordStart(choice, prefix(), engineMemoryTokens());
+  }
+
+  /** Returns whether the prompt is larger than the memory of an engine, so that none can run it. */
+  boolean exceedsEngineMemory() {
+    return engineWork(1).exceedsMemory();
   }
 
   /** Returns whether there is a candidate that was not tried. */
@@ -210,13 +226,24 @@
   private EngineSelector.Choice choose(List<UpstreamInstance> candidates) {
     List<String> ids = new ArrayList<>(candidates.size());
     candidates.forEach(candidate -> ids.add(candidate.id()));
-    return gateway.engineSelector.choose(ids, engineWork(weight()), prefixId());
+    return gateway.engineSelector.choose(
+        ids, engineWork(weight()), prefix(), gateway.clock.nanoTime());
   }
 
   private EngineWork engineWork(double weight) {
-    int shared = request.sharedTokens();
     return new EngineWork(
-        shared, Math.max(0, request.promptTokens() - shared), request.outputTokens(), weight);
+        Math.max(request.sharedTokens(), request.promptTokens()),
+        request.outputTokens(),
+        weight,
+        engineMemoryTokens());
+  }
+
+  /** Returns the memory of an engine in tokens; without an engine profile it has no bound. */
+  private long engineMemoryTokens() {
+    return engineProfile()
+        .map(EngineProfile::cacheCapacityTokens)
+        .filter(tokens -> tokens > 0)
+        .orElse(Long.MAX_VALUE);
   }
 
   private Optional<EngineProfile> engineProfile() {
--- a/server/src/main/java/org/clementinequay/server/gateway/Gateway.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/Gateway.java
@@ -54,7 +54,11 @@
 
   final UpstreamHealthTracker health;
   final Set<RequestForwarder> activeRequests = ConcurrentHashMap.newKeySet();
-  final EngineSelector engineSelector = new EngineSelector();
+  final EngineSelector engineSelector;
+
+  /** Whether cached beginnings of prompts count when an engine is chosen. */
+  final boolean promptCache;
+
   final SessionVersions sessions;
   final SlowAnswerDetector slowAnswers = new SlowAnswerDetector();
 
@@ -84,6 +88,8 @@
     this.log = Objects.requireNonNull(builder.log);
     this.observer = Objects.requireNonNull(builder.observer);
     this.random = Objects.requireNonNull(builder.random);
+    this.engineSelector = new EngineSelector(random);
+    this.promptCache = builder.promptCache;
     this.budgetFactory = Objects.requireNonNull(builder.budgetFactory);
     this.sessions = new SessionVersions(builder.sessionIdleTime);
     this.health = new UpstreamHealthTracker(clock, MAX_PROBE_DELAY);
@@ -133,6 +139,7 @@
     engineSelector.retain(directory.ids());
     health.retain(directory.ids());
     for (UpstreamInstance instance : changes.added()) {
+      engineSelector.recordProcess(instance.id(), instance.startMillis());
       log.record(
           "upstream",
           "id",
@@ -262,6 +269,7 @@
     private RandomGenerator random = new SplittableRandom();
     private Supplier<RetryWindow> budgetFactory;
     private Duration sessionIdleTime;
+    private boolean promptCache = true;
 
     private Builder() {}
 
@@ -317,6 +325,12 @@
       return this;
     }
 
+    /** Sets whether cached beginnings of prompts count; by default they do. */
+    public Builder promptCache(boolean value) {
+      promptCache = value;
+      return this;
+    }
+
     public Gateway build() {
       return new Gateway(this);
     }
--- a/server/src/main/java/org/clementinequay/server/gateway/GatewayAttempt.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/GatewayAttempt.java
@@ -115,7 +115,7 @@
       if (relaying) {
         recordTokenTime();
       }
-      gateway.engineSelector.recordEnd(instance.id(), choice.workMillis());
+      gateway.engineSelector.recordEnd(choice);
     }
   }
 
--- a/server/src/main/java/org/clementinequay/server/gateway/GatewayHost.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/GatewayHost.java
@@ -8,10 +8,12 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Locale;
 import org.clementinequay.core.Incarnation;
 import org.clementinequay.core.dispatch.RetryShare;
 import org.clementinequay.core.dispatch.RetryWindow;
 import org.clementinequay.core.platform.HostEntry;
+import org.clementinequay.core.placement.EngineSelector;
 import org.clementinequay.core.spread.ReadSchedule;
 import org.clementinequay.core.spread.StoreClock;
 import org.clementinequay.core.spread.StoreReadTimings;
@@ -93,6 +95,7 @@
             .observer(metrics::recordRouteRequest)
             .retryBudgets(this::newRetryBudget)
             .sessionIdleTime(seconds(settings.sessionSeconds()))
+            .promptCache(settings.promptCache())
             .build();
     this.handler = new GatewayHandler(gateway);
     this.readinessHandler = new ReadinessHandler(gateway, metrics::scrape);
@@ -113,9 +116,22 @@
     metrics.registerGauge(
         "clementinequay_quarantined_prompt_parts",
         () -> gateway.crashGuard.quarantinedParts().size());
+    metrics.registerGauge(
+        "clementinequay_engine_load_hosts_heard",
+        () -> gateway.engineSelector.exchange().heardHosts(clock.nanoTime()));
+    for (EngineSelector.Basis basis : EngineSelector.Basis.values()) {
+      metrics.registerGauge(
+          "clementinequay_placements_by_" + basis.name().toLowerCase(Locale.ROOT),
+          () -> gateway.engineSelector.choices(basis));
+    }
     PeerIdentity identity = newIdentity(settings);
     this.peers = newPeerNetwork(identity, registry);
     addStoreTasks(platform, new StoreReaderRole(identity, peers, clock, log));
+    EngineLoadTask engineLoad =
+        new EngineLoadTask(
+            gateway, peers::broadcast, peers::listedHosts, settings.engineLoadHosts().intValue());
+    peers.addListener(engineLoad);
+    addTask("engine-load", engineLoad::step);
     addTask("watch", new RequestWatchdog(gateway)::step);
     HostEntry self =
         new HostEntry(settings.name(), "entry", settings.domain(), settings.peers(), false);
--- a/server/src/main/java/org/clementinequay/server/gateway/GatewayRequest.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/GatewayRequest.java
@@ -39,12 +39,6 @@
     OptionalInt expectedOutputTokens,
     List<PromptPart> promptParts,
     HttpFields forwardedHeaders) {
-  /** Returns the last part that other requests may share; empty if the prompt has no such part. */
-  Optional<PromptPart> lastSharedPart() {
-    int shared = promptParts.size() - 2;
-    return shared < 0 ? Optional.empty() : Optional.of(promptParts.get(shared));
-  }
-
   /** Returns the ids of all parts but the last, in order. */
   List<String> sharedPartIds() {
     return promptParts.stream()
--- a/server/src/main/java/org/clementinequay/server/gateway/GatewaySettings.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/GatewaySettings.java
@@ -29,6 +29,10 @@
  *     new request; 2000 if it is absent
  * @param configurationMillis milliseconds after which a change by the operator must be in force;
  *     2000 if it is absent
+ * @param engineLoadHosts number of listed hosts from which the hosts of a failure domain exchange
+ *     the load of engines; never if it is absent or not positive
+ * @param promptCache whether cached beginnings of prompts count when an engine is chosen; true if
+ *     it is absent
  */
 public record GatewaySettings(
     String name,
@@ -46,7 +50,9 @@
     double retryWindowSeconds,
     double sessionSeconds,
     Long drainMillis,
-    Long configurationMillis) {
+    Long configurationMillis,
+    Double engineLoadHosts,
+    Boolean promptCache) {
   /** Value of the times that the settings leave out, in milliseconds. */
   private static final long DEFAULT_MILLIS = 2000;
 
@@ -61,6 +67,8 @@
   public GatewaySettings {
     drainMillis = drainMillis == null ? DEFAULT_MILLIS : drainMillis;
     configurationMillis = configurationMillis == null ? DEFAULT_MILLIS : configurationMillis;
+    engineLoadHosts = engineLoadHosts == null || !(engineLoadHosts > 0) ? 0.0 : engineLoadHosts;
+    promptCache = promptCache == null || promptCache;
   }
 
   /**
--- a/server/src/main/java/org/clementinequay/server/gateway/RequestForwarder.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/RequestForwarder.java
@@ -5,6 +5,7 @@
 import java.time.Duration;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Locale;
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
@@ -267,6 +268,10 @@
       failQuarantined(quarantined.get());
       return;
     }
+    if (placement.exceedsEngineMemory()) {
+      fail(mayHaveRun ? BAD_GATEWAY : UNAVAILABLE, "the prompt exceeds the memory of an engine");
+      return;
+    }
     Optional<AttemptPlacement.Selection> selection = placement.select(triedIds);
     if (selection.isEmpty()) {
       selection = placement.selectAgain(silentIds);
@@ -293,7 +298,7 @@
             placement.model(),
             streaming ? OptionalInt.of(urgency()) : OptionalInt.empty(),
             events.lastId() > 0 ? OptionalLong.of(events.lastId()) : OptionalLong.empty());
-    gateway.engineSelector.recordStart(instance.id(), choice.workMillis(), placement.prefixId());
+    placement.recordStart(choice);
     try {
       attempt.call =
           gateway.sender.newCall(
@@ -325,6 +330,8 @@
         Math.round(choice.waitMillis()),
         "work_ms",
         Math.round(choice.workMillis()),
+        "chosen_by",
+        choice.basis().name().toLowerCase(Locale.ROOT),
         "left_ms",
         remaining,
         "list_age_ms",
--- a/server/src/main/java/org/clementinequay/server/peer/PeerMessage.java
+++ b/server/src/main/java/org/clementinequay/server/peer/PeerMessage.java
@@ -27,7 +27,8 @@
   @JsonSubTypes.Type(value = PeerMessage.ShiftNews.class, name = "shift"),
   @JsonSubTypes.Type(value = PeerMessage.UpstreamReading.class, name = "upstreams"),
   @JsonSubTypes.Type(value = PeerMessage.OperatorReading.class, name = "operator"),
-  @JsonSubTypes.Type(value = PeerMessage.CrashNews.class, name = "crash")
+  @JsonSubTypes.Type(value = PeerMessage.CrashNews.class, name = "crash"),
+  @JsonSubTypes.Type(value = PeerMessage.EngineLoad.class, name = "load")
 })
 public sealed interface PeerMessage {
   /** First message on a connection, in both directions. */
@@ -184,4 +185,29 @@
       @JsonProperty("s") String service,
       @JsonProperty("p") String id,
       @JsonProperty("m") long remainingMillis) {}
+
+  /**
+   * Work that the sender has outstanding on engines.
+   *
+   * @param full whether the sender has none on the engines that are missing
+   * @param engines engines whose work changed, or all that have work
+   */
+  record EngineLoad(
+      @JsonProperty("f") boolean full, @JsonProperty("e") List<EngineWorkSum> engines)
+      implements PeerMessage {}
+
+  /**
+   * Outstanding work on one engine.
+   *
+   * @param workMillis work of its runs in engine milliseconds
+   * @param tokens memory of its runs, in tokens
+   * @param samples token times that the sender measured since its last message
+   * @param millisPerToken mean of these
+   */
+  record EngineWorkSum(
+      @JsonProperty("u") String upstream,
+      @JsonProperty("w") long workMillis,
+      @JsonProperty("k") long tokens,
+      @JsonProperty("n") int samples,
+      @JsonProperty("m") double millisPerToken) {}
 }
