--- a/core/src/main/java/org/clementinequay/core/placement/EngineSelector.java
+++ b/core/src/main/java/org/clementinequay/core/placement/EngineSelector.java
@@ -17,8 +17,8 @@
  * to do.
  *
  * <p>Without {@link #shareLoad} only this host's own work counts, see {@link
- * SelectionRule#OWN_LOAD}: with few hosts and the best engine by exchanged sums, a burst gathered on
- * the engine that the last messages had reported as free. Thread-safe.
+ * SelectionRule#OWN_LOAD}: with few hosts and the best engine by exchanged sums, a burst gathered
+ * on the engine that the last messages had reported as free. Thread-safe.
  */
 public final class EngineSelector {
   /** Weight of a new sample in the moving average; follows a change within about ten answers. */
@@ -125,8 +125,7 @@
             millis,
             millis - work.millis(prefix.tokens()));
     SelectionRule rule = otherHosts > 0 ? SelectionRule.BOUNDED_LOAD : SelectionRule.OWN_LOAD;
-    SelectionRule.Selection best =
-        rule.choose(withRoom.isEmpty() ? all : withRoom, demand, random);
+    SelectionRule.Selection best = rule.choose(withRoom.isEmpty() ? all : withRoom, demand, random);
     if (best == null) {
       return null;
     }
@@ -294,7 +293,8 @@
     private boolean everReceived;
 
     private void recordTokenTime(double sample, double weight) {
-      millisPerToken = millisPerToken == 0 ? sample : millisPerToken + weight * (sample - millisPerToken);
+      millisPerToken =
+          millisPerToken == 0 ? sample : millisPerToken + weight * (sample - millisPerToken);
     }
 
     private double speed(double meanMillisPerToken) {
--- a/core/src/main/java/org/clementinequay/core/placement/SelectionRule.java
+++ b/core/src/main/java/org/clementinequay/core/placement/SelectionRule.java
@@ -35,8 +35,9 @@
    * prefix to the same engine while the load there is bounded (consistent hashing with bounded
    * loads; Mirrokni, Thorup, Zadimoghaddam, 2018), and then to the next one in the order of the
    * hash, which thus gets a copy. What the prefix saves raises the bound. Other requests, and those
-   * for which no engine in the order has room, go to the better of two random engines (Mitzenmacher,
-   * 2000): with the best of all, the hosts would follow the same reports to the same engine.
+   * for which no engine in the order has room, go to the better of two random engines
+   * (Mitzenmacher, 2000): with the best of all, the hosts would follow the same reports to the same
+   * engine.
    */
   BOUNDED_LOAD {
     @Override
--- a/core/src/test/java/org/clementinequay/core/placement/EngineFleet.java
+++ b/core/src/test/java/org/clementinequay/core/placement/EngineFleet.java
@@ -69,7 +69,8 @@
     private boolean begun;
     EngineSelector.Choice choice;
 
-    private Request(int host, Kind kind, double pace, PromptPrefix prefix, int[] tokens, double at) {
+    private Request(
+        int host, Kind kind, double pace, PromptPrefix prefix, int[] tokens, double at) {
       this.host = host;
       this.kind = kind;
       this.pace = pace;
@@ -144,7 +145,8 @@
     SimulatedEngine simulated = engines.get(engine);
     return (simulated.remainingMillis()
             + request.work.weight()
-                * (request.work.promptTokens() - simulated.cache.cachedTokens(request.prefix, request.prefix.keys()))
+                * (request.work.promptTokens()
+                    - simulated.cache.cachedTokens(request.prefix, request.prefix.keys()))
                 / PROMPT_TOKENS_PER_MILLI)
         / simulated.speed;
   }
@@ -234,7 +236,9 @@
       }
       for (Request request : runs) {
         double perToken = STEP_MILLIS / SLOTS;
-        sum += request.pace * (request.promptLeft / PROMPT_TOKENS_PER_MILLI + request.outputLeft * perToken);
+        sum +=
+            request.pace
+                * (request.promptLeft / PROMPT_TOKENS_PER_MILLI + request.outputLeft * perToken);
       }
       return sum;
     }
@@ -264,7 +268,8 @@
       request.promptLeft = request.work.promptTokens() - cached;
       int known = 0;
       for (int i = 0; i < keys.length; i++) {
-        known += readSomewhere.put(keys[i], true) == null ? 0 : request.prefix.parts().get(i).tokens();
+        known +=
+            readSomewhere.put(keys[i], true) == null ? 0 : request.prefix.parts().get(i).tokens();
       }
       kept += cached;
       readAgain += Math.max(0, known - cached);
@@ -278,7 +283,8 @@
           continue;
         }
         run.outputLeft -= 1 / run.pace;
-        if (!run.begun && run.work.outputTokens() - run.outputLeft >= FIRST_EVENT_TOKENS || run.outputLeft <= 0) {
+        if (!run.begun && run.work.outputTokens() - run.outputLeft >= FIRST_EVENT_TOKENS
+            || run.outputLeft <= 0) {
           if (!run.begun) {
             run.begun = true;
             recordFirstEvent(run);
--- a/core/src/test/java/org/clementinequay/core/placement/EnginePlacementTest.java
+++ b/core/src/test/java/org/clementinequay/core/placement/EnginePlacementTest.java
@@ -6,6 +6,7 @@
 import java.util.Collections;
 import java.util.Comparator;
 import java.util.List;
+import java.util.Random;
 import java.util.SplittableRandom;
 import java.util.random.RandomGenerator;
 import org.testng.annotations.DataProvider;
@@ -88,7 +89,8 @@
             EngineFleet.Result r = play(policy, hosts, speeds, load, 0);
             line.append(
                 String.format(
-                    " | %.0f / %.0f, %.3f, %.2f", r.p50(), r.p99(), r.lateShare(), r.rereadShare()));
+                    " | %.0f / %.0f, %.3f, %.2f",
+                    r.p50(), r.p99(), r.lateShare(), r.rereadShare()));
           }
           System.out.println(line.append(" |"));
         }
@@ -123,7 +125,7 @@
     public EngineSelector.Choice choose(
         EngineFleet.Request request, List<String> engines, double nowMillis) {
       List<String> candidates = new ArrayList<>(engines);
-      Collections.shuffle(candidates, new java.util.Random(random.nextLong()));
+      Collections.shuffle(candidates, new Random(random.nextLong()));
       EngineSelector own = selectors[request.host];
       Comparator<String> order =
           switch (policy) {
--- a/core/src/test/java/org/clementinequay/core/placement/EngineSelectorTest.java
+++ b/core/src/test/java/org/clementinequay/core/placement/EngineSelectorTest.java
@@ -4,6 +4,8 @@
 import static org.testng.Assert.assertNotEquals;
 
 import java.util.List;
+import java.util.SplittableRandom;
+import java.util.stream.IntStream;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
@@ -78,8 +80,7 @@
       EngineSelector.Choice choice = selector.choose(List.of("a"), large, PromptPrefix.none(), 0);
       selector.recordStart(choice, PromptPrefix.none(), MEMORY);
       start("b", 1e6, PromptPrefix.none());
-      assertEquals(
-          selector.choose(List.of("a", "b"), large, PromptPrefix.none(), 0).engine(), "b");
+      assertEquals(selector.choose(List.of("a", "b"), large, PromptPrefix.none(), 0).engine(), "b");
       assertEquals(selector.choose(List.of("a"), large, PromptPrefix.none(), 0).engine(), "a");
     }
 
@@ -101,13 +102,13 @@
   public static class ManyHosts {
     private static final EngineWork LONG = new EngineWork(6000, 100, 1, MEMORY);
     private static final List<String> MANY =
-        java.util.stream.IntStream.range(0, 40).mapToObj(i -> "engine-" + i).toList();
+        IntStream.range(0, 40).mapToObj(i -> "engine-" + i).toList();
 
     private EngineSelector selector;
 
     @BeforeMethod
     public void create() {
-      selector = new EngineSelector(new java.util.SplittableRandom(1));
+      selector = new EngineSelector(new SplittableRandom(1));
       selector.shareLoad(99);
     }
 
@@ -127,7 +128,7 @@
     @Test
     public void allHostsSendPrefixToSameEngineWhileItsLoadIsBounded() {
       String first = chosen(0);
-      EngineSelector other = new EngineSelector(new java.util.SplittableRandom(2));
+      EngineSelector other = new EngineSelector(new SplittableRandom(2));
       other.shareLoad(99);
       assertEquals(other.choose(MANY, LONG, PREFIX, 0).engine(), first);
       report("h", first, 5000, 0);
--- a/server/src/main/java/org/clementinequay/server/peer/PeerMessage.java
+++ b/server/src/main/java/org/clementinequay/server/peer/PeerMessage.java
@@ -192,8 +192,7 @@
    * @param full whether the sender has none on the engines that are missing
    * @param engines engines whose work changed, or all that have work
    */
-  record EngineLoad(
-      @JsonProperty("f") boolean full, @JsonProperty("e") List<EngineWorkSum> engines)
+  record EngineLoad(@JsonProperty("f") boolean full, @JsonProperty("e") List<EngineWorkSum> engines)
       implements PeerMessage {}
 
   /**
--- a/server/src/test/java/org/clementinequay/server/gateway/EngineLoadTaskTest.java
+++ b/server/src/test/java/org/clementinequay/server/gateway/EngineLoadTaskTest.java
@@ -5,6 +5,7 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.Arrays;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -151,8 +152,7 @@
     PeerNetwork.Peer near = hosts.get("front-2").peer();
     PeerMessage.EngineWorkSum negative = new PeerMessage.EngineWorkSum("e", -5, -5, -5, -5);
     task.received(near, new PeerMessage.EngineLoad(true, null));
-    task.received(
-        near, new PeerMessage.EngineLoad(true, java.util.Arrays.asList(null, negative)));
+    task.received(near, new PeerMessage.EngineLoad(true, Arrays.asList(null, negative)));
     assertEquals(hosts.get("front-0").heardMillis("e"), 0.0);
   }
 }
