--- a/core/src/main/java/org/clementinequay/core/placement/EngineSelector.java
+++ b/core/src/main/java/org/clementinequay/core/placement/EngineSelector.java
@@ -81,6 +81,11 @@
     otherHosts = Math.max(0, hosts);
   }
 
+  /** Returns whether the work of other hosts counts. */
+  public synchronized boolean sharesLoad() {
+    return otherHosts > 0;
+  }
+
   /** Returns the reports of other hosts, for the messages that carry them. */
   public EngineLoadExchange exchange() {
     return exchange;
--- a/server/src/main/java/org/clementinequay/server/gateway/AttemptPlacement.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/AttemptPlacement.java
@@ -233,11 +233,26 @@
   private EngineWork engineWork(double weight) {
     return new EngineWork(
         Math.max(request.sharedTokens(), request.promptTokens()),
-        request.outputTokens(),
+        outputTokens(),
         weight,
         engineMemoryTokens());
   }
 
+  private int outputTokens() {
+    int expected = request.outputTokens();
+    if (!gateway.engineSelector.sharesLoad()) {
+      return expected;
+    }
+    int estimate = gateway.outputLengths.estimate(route.name(), expected);
+    int limit = request.maxOutputTokens();
+    return limit > 0 ? Math.min(estimate, limit) : estimate;
+  }
+
+  /** Records the length of a complete answer. */
+  void recordOutput(long events) {
+    gateway.outputLengths.record(route.name(), request.outputTokens(), events * tokensPerEvent());
+  }
+
   /** Returns the memory of an engine in tokens; without an engine profile it has no bound. */
   private long engineMemoryTokens() {
     return engineProfile()
--- a/server/src/main/java/org/clementinequay/server/gateway/Gateway.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/Gateway.java
@@ -20,6 +20,7 @@
 import org.clementinequay.core.forward.Route;
 import org.clementinequay.core.forward.UpstreamInstance;
 import org.clementinequay.core.placement.EngineSelector;
+import org.clementinequay.core.placement.OutputLengths;
 import org.clementinequay.core.rollout.ShiftOrder;
 import org.clementinequay.core.rollout.SlowAnswerDetector;
 import org.clementinequay.core.rollout.TrafficShift;
@@ -56,6 +57,8 @@
   final Set<RequestForwarder> activeRequests = ConcurrentHashMap.newKeySet();
   final EngineSelector engineSelector;
 
+  final OutputLengths outputLengths = new OutputLengths();
+
   /** Whether cached beginnings of prompts count when an engine is chosen. */
   final boolean promptCache;
 
--- a/server/src/main/java/org/clementinequay/server/gateway/GatewayAttempt.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/GatewayAttempt.java
@@ -489,6 +489,7 @@
     recordOutcome(false);
     if (firstEventNanos != 0) {
       recordAnswerBegun();
+      forwarder.placement.recordOutput(forwarder.events.lastId());
     }
   }
 
