--- a/server/src/main/java/org/clementinequay/server/gateway/Gateway.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/Gateway.java
@@ -30,6 +30,7 @@
 import org.clementinequay.core.forward.ServiceProfile;
 import org.clementinequay.core.forward.UpstreamInstance;
 import org.clementinequay.core.placement.EngineSelector;
+import org.clementinequay.core.placement.OutputLengths;
 import org.clementinequay.core.rollout.ShiftOrder;
 import org.clementinequay.core.rollout.SlowAnswerDetector;
 import org.clementinequay.core.rollout.TrafficShift;
@@ -67,7 +68,13 @@
 
   final UpstreamHealthTracker health;
   final Set<RequestForwarder> activeRequests = ConcurrentHashMap.newKeySet();
-  final EngineSelector engineSelector = new EngineSelector();
+  final EngineSelector engineSelector;
+
+  final OutputLengths outputLengths = new OutputLengths();
+
+  /** Whether cached beginnings of prompts count when an engine is chosen. */
+  final boolean promptCache;
+
   final SessionVersions sessions;
   final SlowAnswerDetector slowAnswers = new SlowAnswerDetector();
 
@@ -116,6 +123,8 @@
     this.log = Objects.requireNonNull(builder.log);
     this.observer = Objects.requireNonNull(builder.observer);
     this.random = Objects.requireNonNull(builder.random);
+    this.engineSelector = new EngineSelector(random);
+    this.promptCache = builder.promptCache;
     this.budgetFactory = Objects.requireNonNull(builder.budgetFactory);
     this.sessions = new SessionVersions(builder.sessionIdleTime);
     this.health = new UpstreamHealthTracker(clock, MAX_PROBE_DELAY);
@@ -185,6 +194,7 @@
     health.retain(directory.ids());
     fullUpstreams.retain(directory.ids());
     for (UpstreamInstance instance : changes.added()) {
+      engineSelector.recordProcess(instance.id(), instance.startMillis());
       log.record(
           "upstream",
           "id",
@@ -456,6 +466,7 @@
     private UpstreamReachability reachability;
     private int maxWaitingRequests;
     private IntSupplier listedHosts = () -> 1;
+    private boolean promptCache = true;
 
     private Builder() {}
 
@@ -540,6 +551,12 @@
       return this;
     }
 
+    /** Sets whether cached beginnings of prompts count; by default they do. */
+    public Builder promptCache(boolean value) {
+      promptCache = value;
+      return this;
+    }
+
     public Gateway build() {
       return new Gateway(this);
     }
--- a/server/src/main/java/org/clementinequay/server/gateway/GatewayAttempt.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/GatewayAttempt.java
@@ -138,7 +138,7 @@
       if (relaying) {
         recordTokenTime();
       }
-      gateway.engineSelector.recordEnd(instance.id(), choice.workMillis());
+      gateway.engineSelector.recordEnd(choice);
       forwarder.openCalls.add(gateway::recheckWaiting);
     }
   }
@@ -452,6 +452,7 @@
     recordOutcome(false);
     if (relay.begun()) {
       relay.recordBeginning();
+      forwarder.placement.recordOutput(forwarder.events.lastId());
     }
   }
 
--- a/server/src/main/java/org/clementinequay/server/gateway/GatewaySettings.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/GatewaySettings.java
@@ -41,6 +41,10 @@
  * @param regions region of each failure domain by its name; only that of this host if absent
  * @param maxWaitingRequests how many requests may wait in this host while all upstreams that may
  *     take them are full; none if it is absent or no whole number from 0 to 10000
+ * @param engineLoadHosts number of listed hosts from which the hosts of a failure domain exchange
+ *     the load of engines; never if it is absent or not positive
+ * @param promptCache whether cached beginnings of prompts count when an engine is chosen; true if
+ *     it is absent
  */
 public record GatewaySettings(
     String name,
@@ -63,7 +67,9 @@
     Double coldRequestExtra,
     Long evacuationMillis,
     Map<String, String> regions,
-    JsonNode maxWaitingRequests) {
+    JsonNode maxWaitingRequests,
+    Double engineLoadHosts,
+    Boolean promptCache) {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
   /** Largest number of requests that may wait; each keeps its body in memory. */
@@ -86,6 +92,8 @@
     coldRequestExtra = coldRequestExtra == null ? 0.0 : coldRequestExtra;
     evacuationMillis = evacuationMillis == null ? configurationMillis : evacuationMillis;
     regions = knownRegions(regions, domain, region);
+    engineLoadHosts = engineLoadHosts == null || !(engineLoadHosts > 0) ? 0.0 : engineLoadHosts;
+    promptCache = promptCache == null || promptCache;
   }
 
   private static Map<String, String> knownRegions(
--- a/server/src/main/java/org/clementinequay/server/gateway/RequestForwarder.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/RequestForwarder.java
@@ -4,6 +4,7 @@
 import java.io.IOException;
 import java.time.Duration;
 import java.util.List;
+import java.util.Locale;
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
@@ -216,6 +217,10 @@
       reject(rejection.get());
       return;
     }
+    if (placement.exceedsEngineMemory()) {
+      fail(history.failureStatus(), "the prompt exceeds the memory of an engine");
+      return;
+    }
     Optional<AttemptPlacement.Selection> selection = placement.select(admission.excluded());
     if (selection.isEmpty()) {
       selection = placement.selectAgain(history.takeSilent());
@@ -315,7 +320,7 @@
             placement.model(),
             streaming ? OptionalInt.of(urgency()) : OptionalInt.empty(),
             events.lastId() > 0 ? OptionalLong.of(events.lastId()) : OptionalLong.empty());
-    gateway.engineSelector.recordStart(instance.id(), choice.workMillis(), placement.prefixId());
+    placement.recordStart(choice);
     try {
       attempt.call =
           gateway.sender.newCall(
@@ -347,6 +352,8 @@
         Math.round(choice.waitMillis()),
         "work_ms",
         Math.round(choice.workMillis()),
+        "chosen_by",
+        choice.basis().name().toLowerCase(Locale.ROOT),
         "left_ms",
         remaining,
         "list_age_ms",
