--- a/server/src/main/java/org/clementinequay/server/gateway/CallerConnector.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/CallerConnector.java
@@ -14,7 +14,7 @@
   private final LingeringCloser closer = new LingeringCloser();
 
   public CallerConnector(Server server, HttpConnectionFactory factory) {
-    super(server, null, null, null, 1, 1, factory);
+    super(server, null, null, null, 0, 1, factory);
   }
 
   @Override
--- a/server/src/main/java/org/clementinequay/server/gateway/GatewayHost.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/GatewayHost.java
@@ -24,6 +24,8 @@
 import org.clementinequay.server.peer.TcpPeerNetwork;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.server.Server;
+import org.eclipse.jetty.util.thread.ScheduledExecutorScheduler;
+import org.eclipse.jetty.util.thread.Scheduler;
 
 /** Entry host that forwards requests by route: creates, starts and gracefully stops its parts. */
 public final class GatewayHost implements AutoCloseable {
@@ -83,6 +85,7 @@
     this.settings = settings;
     this.clock = clock;
     this.log = log;
+    shareThreads(client, singleUseClient);
     this.gateway =
         Gateway.builder()
             .host(settings.name(), settings.domain())
@@ -122,6 +125,16 @@
     addTask("registration", new HostRegistrationTask(registry, self, log)::step);
   }
 
+  /**
+   * Lets the HTTP clients use one pool of threads and one timer; the first to start starts them.
+   */
+  private static void shareThreads(HttpClient first, HttpClient second) {
+    second.setExecutor(first.getExecutor());
+    Scheduler timer = new ScheduledExecutorScheduler("clients-timer", true);
+    first.setScheduler(timer);
+    second.setScheduler(timer);
+  }
+
   /** Returns a window with this host's part of the retries that the deployment allows a service. */
   private RetryWindow newRetryBudget() {
     return new RetryWindow(
@@ -164,8 +177,7 @@
     UpstreamProbe probe = new ConnectProbe();
     CrashGuardTask crashes = new CrashGuardTask(gateway, peers::broadcast, probe);
     peers.addListener(crashes);
-    addTask("crashes", crashes::step);
-    addTask("stalled", new StalledAttemptTask(gateway, probe)::step);
+    addTask("probes", crashes::step, new StalledAttemptTask(gateway, probe)::step);
     addTask("quarantine", new QuarantineStoreTask(gateway, platform, role)::step);
     addTask("rollouts", new ShiftStateTask(gateway, platform, gossip, role)::step);
   }
@@ -190,7 +202,9 @@
         .build();
   }
 
-  private void addTask(String name, PeriodicTask.Step step) {
+  /** Adds a thread that repeats one step, or several of which none may wait long. */
+  private void addTask(String name, PeriodicTask.Step... steps) {
+    PeriodicTask.Step step = steps.length == 1 ? steps[0] : new StepGroup(clock, steps);
     tasks.add(new PeriodicTask(name, clock, step));
   }
 
--- a/server/src/main/java/org/clementinequay/server/gateway/JettyFactory.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/JettyFactory.java
@@ -23,8 +23,21 @@
   private static final int ADDED_HEADER_BYTES = 4 * 1024;
 
   private static final int MAX_RESPONSE_HEAD_BYTES = 16 * 1024;
-  private static final int SERVER_THREADS = 12;
-  private static final int CLIENT_THREADS = 10;
+  private static final int SERVER_THREADS = 8;
+  private static final int CLIENT_THREADS = 8;
+
+  /** Threads that a pool keeps; it adds more as they are needed. */
+  private static final int KEPT_THREADS = 1;
+
+  /** Threads of a pool that wait to take over a selector: none, on a fraction of a core. */
+  private static final int RESERVED_THREADS = 0;
+
+  /** Time after which a pool ends a thread that it does not need, in milliseconds. */
+  private static final int THREAD_IDLE_MILLIS = 2000;
+
+  /** None: the selector accepts, so that a listener needs no thread of its own for it. */
+  private static final int ACCEPTORS = 0;
+
   private static final int ACCEPT_QUEUE = 512;
 
   /** Idle timeout of caller connections in milliseconds; twice what the deployments configure. */
@@ -51,8 +64,10 @@
    *     its connection during a request
    */
   static Server newServer(String name, String address, Handler handler, boolean detectClose) {
-    QueuedThreadPool threads = new QueuedThreadPool(SERVER_THREADS, 3);
+    QueuedThreadPool threads = new QueuedThreadPool(SERVER_THREADS, KEPT_THREADS);
     threads.setName(name);
+    threads.setReservedThreads(RESERVED_THREADS);
+    threads.setIdleTimeout(THREAD_IDLE_MILLIS);
     Server server = new Server(threads);
     HttpConfiguration http = new HttpConfiguration();
     http.setSendServerVersion(false);
@@ -65,7 +80,7 @@
     ServerConnector connector =
         detectClose
             ? new CallerConnector(server, factory)
-            : new ServerConnector(server, null, null, null, 1, 1, factory);
+            : new ServerConnector(server, null, null, null, ACCEPTORS, 1, factory);
     HostAndPort hostAndPort = HostAndPort.fromString(address);
     connector.setHost(hostAndPort.getHost());
     connector.setPort(hostAndPort.getPort());
@@ -80,7 +95,7 @@
   /** Adds a listener that does not detect closed connections during requests. */
   static void addListener(Server server, String host, int port) {
     ServerConnector connector =
-        new ServerConnector(server, null, null, null, 1, 1, new HttpConnectionFactory());
+        new ServerConnector(server, null, null, null, ACCEPTORS, 1, new HttpConnectionFactory());
     connector.setHost(host);
     connector.setPort(port);
     connector.setIdleTimeout(CALLER_IDLE_MILLIS);
@@ -90,8 +105,10 @@
   static HttpClient newClient(String name) {
     ClientConnector connector = new ResetAwareConnector();
     connector.setSelectors(1);
-    QueuedThreadPool threads = new QueuedThreadPool(CLIENT_THREADS, 3);
+    QueuedThreadPool threads = new QueuedThreadPool(CLIENT_THREADS, KEPT_THREADS);
     threads.setName(name);
+    threads.setReservedThreads(RESERVED_THREADS);
+    threads.setIdleTimeout(THREAD_IDLE_MILLIS);
     connector.setExecutor(threads);
     HttpClient client = new ForwardingClient(new BoundedHttpTransport(connector));
     client.setConnectTimeout(CONNECT_MILLIS);
--- a/server/src/main/java/org/clementinequay/server/gateway/PeriodicTask.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/PeriodicTask.java
@@ -9,7 +9,7 @@
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
   /** Pause after a step that threw an unexpected exception. */
-  private static final Duration RETRY_DELAY = Duration.ofMillis(500);
+  static final Duration RETRY_DELAY = Duration.ofMillis(500);
 
   private final Thread thread;
   private volatile boolean closed;
