Decide in a budget what callers may hold of a host

Change: core.ingress.IngressBudget counts connections, heads, bodies and answers; admits, holds back, or turns away by table-tested rules in virtual time. Ruled out: back pressure alone, which bodies that stop short block for everybody; reserving the declared length, which a caller takes without sending.

--- /dev/null
+++ b/core/src/main/java/org/clementinequay/core/ingress/IngressLimits.java
@@ -0,0 +1,32 @@
+package org.clementinequay.core.ingress;
+
+/**
+ * Limits of what a listener holds for its callers.
+ *
+ * @param maxBytes bytes held for all callers
+ * @param maxConnections open connections
+ * @param maxConnectionsPerAddress open connections of one address
+ */
+public record IngressLimits(long maxBytes, int maxConnections, int maxConnectionsPerAddress) {
+  /** Part of the heap that callers may take; the rest is for the host's state and for answers. */
+  private static final double HEAP_FRACTION = 0.4;
+
+  /** Part of the descriptors that callers may take; the rest is for upstreams, peers and files. */
+  private static final double DESCRIPTOR_FRACTION = 0.75;
+
+  /** Returns the limits of a host with a heap and a number of descriptors. */
+  public static IngressLimits ofMachine(long heapBytes, long maxDescriptors) {
+    int connections = (int) Math.min(Integer.MAX_VALUE, maxDescriptors * DESCRIPTOR_FRACTION);
+    return new IngressLimits((long) (heapBytes * HEAP_FRACTION), connections, connections);
+  }
+
+  /** Returns these limits with a bound on connections, by address no greater than in all. */
+  public IngressLimits withConnections(int all, int perAddress) {
+    return new IngressLimits(maxBytes, all, Math.min(all, perAddress));
+  }
+
+  /** Returns these limits with a bound on bytes. */
+  public IngressLimits withBytes(long bytes) {
+    return new IngressLimits(bytes, maxConnections, maxConnectionsPerAddress);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/clementinequay/core/ingress/IngressShare.java
@@ -0,0 +1,93 @@
+package org.clementinequay.core.ingress;
+
+/** What one connection of a caller holds. State of {@link IngressBudget}, guarded by its lock. */
+public final class IngressShare {
+  private final IngressBudget budget;
+  final String address;
+  final IngressHolder holder;
+
+  /** Account of the request in progress; empty if it has none. */
+  String account = "";
+
+  volatile IngressPhase phase = IngressPhase.UNUSED;
+  long bytes;
+
+  /** Bytes for which the holder waits; 0 if it does not wait. */
+  long wantedBytes;
+
+  long phaseNanos;
+  long progressNanos;
+  long progressBytes;
+  long waitingNanos;
+  long limitNanos;
+  boolean turnedAway;
+  boolean closed;
+
+  IngressShare(IngressBudget budget, String address, IngressHolder holder) {
+    this.budget = budget;
+    this.address = address;
+    this.holder = holder;
+  }
+
+  /**
+   * Takes bytes for a part of a head that has arrived.
+   *
+   * @param lines ends of lines in it, each of which may be a field
+   * @return whether the connection may go on; otherwise the caller must close it
+   */
+  public boolean takeHead(int headBytes, int lines) {
+    return budget.takeHead(this, headBytes, lines);
+  }
+
+  /** Begins a request whose head is complete; replaces what was taken for the head. */
+  public void beginRequest(int headBytes, int fields) {
+    budget.beginRequest(this, headBytes, fields);
+  }
+
+  /**
+   * Begins the receipt of a body.
+   *
+   * @param accountName account of the request; empty if it has none
+   * @param limitMillis time for the whole body
+   */
+  public void beginBody(String accountName, long limitMillis) {
+    budget.beginBody(this, accountName, limitMillis);
+  }
+
+  /** Takes bytes for a body. */
+  public Admission takeBody(long moreBytes) {
+    return budget.takeBody(this, moreBytes);
+  }
+
+  /** Records bytes that the caller sent or read. */
+  public void recordProgress(long movedBytes) {
+    if (phase.holdsForSlowCallers()) {
+      budget.recordProgress(this, movedBytes);
+    }
+  }
+
+  /** Gives back a part of what was taken. */
+  public void release(long lessBytes) {
+    budget.release(this, lessBytes);
+  }
+
+  /** The body is complete. */
+  public void endBody() {
+    budget.enter(this, IngressPhase.RUNNING);
+  }
+
+  /** Takes bytes of an answer that must be sent, also beyond the limit. */
+  public void takeAnswer(long answerBytes) {
+    budget.takeAnswer(this, answerBytes);
+  }
+
+  /** Gives back what was taken for a request. */
+  public void endRequest() {
+    budget.endRequest(this);
+  }
+
+  /** Gives back everything. */
+  public void close() {
+    budget.close(this);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/clementinequay/core/ingress/package-info.java
@@ -0,0 +1,2 @@
+/** Bytes, connections and times that callers may take of a host. */
+package org.clementinequay.core.ingress;
