Read callers' bodies against the budget, and bound heads and connections

A request refused for a stop can no longer be forwarded by its body. Ruled out: early answers to requests without a route, as callers that send first would see a reset; Jetty's ConnectionLimit, which stops accepting and so shuts ordinary callers out.

--- a/server/src/main/java/org/clementinequay/server/gateway/CallerConnector.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/CallerConnector.java
@@ -1,7 +1,13 @@
 package org.clementinequay.server.gateway;
 
+import java.io.IOException;
+import java.net.Socket;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.SocketChannel;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import org.clementinequay.core.ingress.IngressBudget;
 import org.eclipse.jetty.io.EndPoint;
 import org.eclipse.jetty.io.ManagedSelector;
 import org.eclipse.jetty.io.SocketChannelEndPoint;
@@ -13,15 +19,48 @@
 public final class CallerConnector extends ServerConnector {
   private final LingeringCloser closer = new LingeringCloser();
 
-  public CallerConnector(Server server, HttpConnectionFactory factory) {
+  /** Connections beyond the limit that may be open while others are closed for them. */
+  private static final int MAX_CLOSING = 16;
+
+  private static final long ACCEPT_POLL_MILLIS = 5;
+
+  private final IngressBudget budget;
+  private final Set<SocketChannel> channels = ConcurrentHashMap.newKeySet();
+
+  public CallerConnector(Server server, HttpConnectionFactory factory, IngressBudget budget) {
     super(server, null, null, null, 1, 1, factory);
+    this.budget = budget;
+  }
+
+  @Override
+  protected void configure(Socket socket) {
+    super.configure(socket);
+    channels.add(socket.getChannel());
+  }
+
+  /** Accepts a connection once few enough are open; those that are being closed count. */
+  @Override
+  public void accept(int acceptorId) throws IOException {
+    while (isOpen() && channels.size() >= budget.maxConnections() + MAX_CLOSING) {
+      channels.removeIf(channel -> !channel.isOpen());
+      if (channels.size() >= budget.maxConnections() + MAX_CLOSING) {
+        try {
+          TimeUnit.MILLISECONDS.sleep(ACCEPT_POLL_MILLIS);
+        } catch (InterruptedException e) {
+          Thread.currentThread().interrupt();
+          return;
+        }
+      }
+    }
+    super.accept(acceptorId);
   }
 
   @Override
   protected SocketChannelEndPoint newEndPoint(
       SocketChannel channel, ManagedSelector selector, SelectionKey key) {
     SocketChannelEndPoint endPoint =
-        new CloseAwareEndPoint(channel, selector, key, getScheduler(), getExecutor(), closer);
+        new CloseAwareEndPoint(
+            channel, selector, key, getScheduler(), getExecutor(), closer, budget);
     endPoint.setIdleTimeout(getIdleTimeout());
     return endPoint;
   }
--- a/server/src/main/java/org/clementinequay/server/gateway/CallerExchange.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/CallerExchange.java
@@ -32,7 +32,7 @@
   /**
    * Creates an exchange whose head was just read.
    *
-   * @param endPoint connection of the caller; null if it is of another kind
+   * @param endPoint connection of the caller
    * @param draining whether responses announce the close of the connection
    * @param onEnd called when the response was written or failed, before the next request is read
    */
@@ -56,19 +56,28 @@
     bodyNanos = gateway.clock.nanoTime();
   }
 
-  /** Records that the request is forwarded. */
-  void forwardedBy(RequestForwarder value) {
+  /**
+   * Records that the request is forwarded.
+   *
+   * @return false if it was refused meanwhile, so that it must not run
+   */
+  synchronized boolean forwardedBy(RequestForwarder value) {
+    if (completed.get()) {
+      return false;
+    }
     forwarder = value;
+    return true;
   }
 
   /** Ends the request because this host ends. */
   void endForStop() {
-    RequestForwarder running = forwarder;
-    if (running == null) {
-      refuse("", HttpStatus.SERVICE_UNAVAILABLE_503, "this host stops");
-    } else {
-      running.endForStop();
+    synchronized (this) {
+      if (forwarder == null) {
+        refuse("", HttpStatus.SERVICE_UNAVAILABLE_503, "this host stops");
+        return;
+      }
     }
+    forwarder.endForStop();
   }
 
   /** Logs the state of this request, which is open when this host ends. */
@@ -85,7 +94,7 @@
         "body_ms",
         bodyNanos == 0 ? 0 : (bodyNanos - stopNanos) / 1_000_000,
         "request_of_connection",
-        endPoint == null ? 0 : endPoint.requestCount());
+        endPoint.requestCount());
     if (running != null) {
       running.logUnfinished(stopNanos);
     }
@@ -112,6 +121,11 @@
     }
     if (completed.compareAndSet(false, true)) {
       setHead(status, headers);
+      if (bodyNanos == 0) {
+        // What is left of the request is not read.
+        response.getHeaders().put(HttpHeader.CONNECTION, "close");
+      }
+      endPoint.share().takeAnswer(body.length);
       response.getHeaders().put(HttpHeader.CONTENT_LENGTH, body.length);
       response.write(true, ByteBuffer.wrap(body), callback);
     }
@@ -150,7 +164,7 @@
 
   @Override
   public boolean isDisconnected() {
-    return endPoint != null && endPoint.isClosedByCaller();
+    return endPoint.isClosedByCaller();
   }
 
   @Override
--- a/server/src/main/java/org/clementinequay/server/gateway/CloseAwareEndPoint.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/CloseAwareEndPoint.java
@@ -1,14 +1,21 @@
 package org.clementinequay.server.gateway;
 
 import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.SocketAddress;
 import java.nio.ByteBuffer;
 import java.nio.channels.ReadPendingException;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.SocketChannel;
 import java.util.concurrent.Executor;
 import java.util.concurrent.TimeoutException;
+import org.clementinequay.core.ingress.IngressBudget;
+import org.clementinequay.core.ingress.IngressHolder;
+import org.clementinequay.core.ingress.IngressShare;
+import org.clementinequay.core.ingress.TurnAway;
 import org.eclipse.jetty.io.ManagedSelector;
 import org.eclipse.jetty.io.SocketChannelEndPoint;
+import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.util.BufferUtil;
 import org.eclipse.jetty.util.Callback;
 import org.eclipse.jetty.util.thread.Scheduler;
@@ -17,7 +24,8 @@
  * Connection of a caller that detects its close while a request is in progress. Jetty reads a
  * connection only between requests, so the close of a connection before the first byte of the
  * response would otherwise be detected only by the next write, and the upstream would go on working
- * for nothing. Bytes that arrive meanwhile are kept for the next request.
+ * for nothing. Bytes that arrive meanwhile are kept for the next request. What the connection holds
+ * is taken from the budget of its listener, which may close it.
  */
 final class CloseAwareEndPoint extends SocketChannelEndPoint {
   private static final int PEEK_BYTES = 2048;
@@ -27,6 +35,8 @@
 
   private final Executor executor;
   private final LingeringCloser closer;
+  private final IngressBudget budget;
+  private final HeadMeter headMeter = new HeadMeter();
   private final Object lock = new Object();
   private final Callback onFillable = Callback.from(() -> onFillable(null), this::onFillable);
   private Callback pendingRead;
@@ -36,6 +46,8 @@
   private boolean requestInProgress;
   private boolean handlingBytes;
   private boolean closing;
+  private volatile IngressShare share;
+  private IngressHolder receiver;
   private int requestCount;
   private boolean quiet;
   private long quietSinceNanos;
@@ -46,17 +58,54 @@
       SelectionKey key,
       Scheduler scheduler,
       Executor executor,
-      LingeringCloser closer) {
+      LingeringCloser closer,
+      IngressBudget budget) {
     super(channel, selector, key, scheduler);
     this.executor = executor;
     this.closer = closer;
+    this.budget = budget;
   }
 
-  /** Begins a request. */
-  void beginRequest() {
+  @Override
+  public void onOpen() {
+    share = budget.open(hostOf(getRemoteSocketAddress()), new BudgetHolder());
+    super.onOpen();
+  }
+
+  private static String hostOf(SocketAddress address) {
+    return address instanceof InetSocketAddress inet ? inet.getHostString() : "";
+  }
+
+  /** Returns the connection of a request. */
+  static CloseAwareEndPoint of(Request request) {
+    return (CloseAwareEndPoint) request.getConnectionMetaData().getConnection().getEndPoint();
+  }
+
+  /** Returns what the connection holds of the budget. */
+  IngressShare share() {
+    return share;
+  }
+
+  /**
+   * Begins a request.
+   *
+   * @return size of its head in bytes, which is a lower bound if it arrived with an earlier request
+   */
+  int beginRequest(Request request) {
+    int headBytes = RequestHeadSize.minBytes(request);
     synchronized (lock) {
       requestInProgress = true;
       requestCount++;
+      headBytes = Math.max(headBytes, headMeter.bytes());
+    }
+    share.beginRequest(headBytes, request.getHeaders().size());
+    return headBytes;
+  }
+
+  /** Sets who is told by the budget to go on or to end the request; null for the connection. */
+  void setReceiver(IngressHolder value) {
+    synchronized (lock) {
+      receiver = value;
     }
   }
 
@@ -72,7 +121,10 @@
     synchronized (lock) {
       requestInProgress = false;
       quiet = false;
+      receiver = null;
+      headMeter.reset();
     }
+    share.endRequest();
   }
 
   /**
@@ -174,11 +226,41 @@
       if (count > 0) {
         handlingBytes = true;
         quiet = false;
+        if (!requestInProgress && !takeHead(buffer, count)) {
+          closing = true;
+          return -1;
+        }
       }
       return count;
     }
   }
 
+  /** Takes the newest bytes of a buffer from the budget; returns false if there is no room. */
+  private boolean takeHead(ByteBuffer buffer, int count) {
+    int bytes = headMeter.bytes();
+    int lines = headMeter.lines();
+    headMeter.count(buffer, buffer.limit() - count);
+    return share.takeHead(headMeter.bytes() - bytes, headMeter.lines() - lines);
+  }
+
+  @Override
+  public boolean flush(ByteBuffer... buffers) throws IOException {
+    long before = remaining(buffers);
+    try {
+      return super.flush(buffers);
+    } finally {
+      share.recordProgress(before - remaining(buffers));
+    }
+  }
+
+  private static long remaining(ByteBuffer... buffers) {
+    long sum = 0;
+    for (ByteBuffer buffer : buffers) {
+      sum += buffer.remaining();
+    }
+    return sum;
+  }
+
   private int takeUnreadBytes(ByteBuffer buffer) {
     int position = BufferUtil.flipToFill(buffer);
     int count = Math.min(buffer.remaining(), unreadBytes.remaining());
@@ -194,6 +276,9 @@
 
   @Override
   public void doClose() {
+    if (share != null) {
+      share.close();
+    }
     boolean alreadyRead;
     synchronized (lock) {
       alreadyRead = unreadBytes != null;
@@ -255,4 +340,37 @@
       return true;
     }
   }
+
+  /** Passes what the budget says to the receiver of the request, or else closes the connection. */
+  private final class BudgetHolder implements IngressHolder {
+    @Override
+    public void resume() {
+      executor.execute(
+          () -> {
+            IngressHolder current = currentReceiver();
+            if (current != null) {
+              current.resume();
+            }
+          });
+    }
+
+    @Override
+    public void turnAway(TurnAway limit) {
+      executor.execute(
+          () -> {
+            IngressHolder current = currentReceiver();
+            if (current == null) {
+              close();
+            } else {
+              current.turnAway(limit);
+            }
+          });
+    }
+
+    private IngressHolder currentReceiver() {
+      synchronized (lock) {
+        return receiver;
+      }
+    }
+  }
 }
--- a/server/src/main/java/org/clementinequay/server/gateway/GatewayHost.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/GatewayHost.java
@@ -11,6 +11,8 @@
 import org.clementinequay.core.Incarnation;
 import org.clementinequay.core.dispatch.RetryShare;
 import org.clementinequay.core.dispatch.RetryWindow;
+import org.clementinequay.core.ingress.IngressBudget;
+import org.clementinequay.core.ingress.TurnAway;
 import org.clementinequay.core.platform.HostEntry;
 import org.clementinequay.core.spread.ReadSchedule;
 import org.clementinequay.core.spread.StoreClock;
@@ -96,12 +98,14 @@
             .build();
     this.handler = new GatewayHandler(gateway);
     this.readinessHandler = new ReadinessHandler(gateway, metrics::scrape);
-    this.server = JettyFactory.newServer("callers", settings.callers(), handler, true);
+    IngressBudget callers = new IngressBudget(CallerLimitSettings.callers(settings));
+    IngressBudget checks = new IngressBudget(CallerLimitSettings.ready());
+    this.server = JettyFactory.newServer("callers", settings.callers(), handler, callers);
     this.connector = (CallerConnector) server.getConnectors()[0];
-    this.readyServer = JettyFactory.newServer("ready", settings.ready(), readinessHandler, false);
+    this.readyServer = JettyFactory.newServer("ready", settings.ready(), readinessHandler, checks);
     if (settings.metrics() > 0) {
       String host = HostAndPort.fromString(settings.ready()).getHost();
-      JettyFactory.addListener(readyServer, host, settings.metrics());
+      JettyFactory.addListener(readyServer, host, settings.metrics(), checks);
     }
     metrics.registerGauge("clementinequay_open_requests", handler::openRequests);
     metrics.registerGauge("clementinequay_log_dropped", log::dropped);
@@ -113,6 +117,14 @@
     metrics.registerGauge(
         "clementinequay_quarantined_prompt_parts",
         () -> gateway.crashGuard.quarantinedParts().size());
+    IngressTask ingress = new IngressTask(gateway, List.of(callers, checks));
+    addTask("ingress", ingress::step);
+    metrics.registerGauge("clementinequay_caller_bytes", callers::bytes);
+    metrics.registerGauge("clementinequay_caller_connections", callers::connections);
+    for (TurnAway limit : TurnAway.values()) {
+      metrics.registerGauge(
+          "clementinequay_turned_away_" + limit.label(), () -> ingress.turnedAway(limit));
+    }
     PeerIdentity identity = newIdentity(settings);
     this.peers = newPeerNetwork(identity, registry);
     addStoreTasks(platform, new StoreReaderRole(identity, peers, clock, log));
--- a/server/src/main/java/org/clementinequay/server/gateway/GatewaySettings.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/GatewaySettings.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.core.json.JsonReadFeature;
 import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectReader;
 import com.fasterxml.jackson.databind.json.JsonMapper;
 import java.util.ArrayList;
@@ -29,6 +30,10 @@
  *     new request; 2000 if it is absent
  * @param configurationMillis milliseconds after which a change by the operator must be in force;
  *     2000 if it is absent
+ * @param maxCallerBytes bytes that the host holds for callers; by the heap if it is absent
+ * @param maxConnections open connections of callers; by the descriptors if it is absent
+ * @param maxConnectionsPerAddress open connections of one address of callers; {@code
+ *     maxConnections} if it is absent
  */
 public record GatewaySettings(
     String name,
@@ -46,7 +51,10 @@
     double retryWindowSeconds,
     double sessionSeconds,
     Long drainMillis,
-    Long configurationMillis) {
+    Long configurationMillis,
+    JsonNode maxCallerBytes,
+    JsonNode maxConnections,
+    JsonNode maxConnectionsPerAddress) {
   /** Value of the times that the settings leave out, in milliseconds. */
   private static final long DEFAULT_MILLIS = 2000;
 
--- a/server/src/main/java/org/clementinequay/server/gateway/JettyFactory.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/JettyFactory.java
@@ -1,6 +1,7 @@
 package org.clementinequay.server.gateway;
 
 import com.google.common.net.HostAndPort;
+import org.clementinequay.core.ingress.IngressBudget;
 import org.clementinequay.server.upstream.BoundedHttpTransport;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.http.HttpCompliance;
@@ -47,10 +48,9 @@
   /**
    * Returns a server with one listener that has not been started.
    *
-   * @param detectClose whether to use {@link CallerConnector}, which detects that a caller closes
-   *     its connection during a request
+   * @param budget what the listener may hold for its callers
    */
-  static Server newServer(String name, String address, Handler handler, boolean detectClose) {
+  static Server newServer(String name, String address, Handler handler, IngressBudget budget) {
     QueuedThreadPool threads = new QueuedThreadPool(SERVER_THREADS, 3);
     threads.setName(name);
     Server server = new Server(threads);
@@ -62,10 +62,7 @@
     http.setUriCompliance(UriCompliance.UNSAFE);
     http.setHttpCompliance(HttpCompliance.RFC7230);
     HttpConnectionFactory factory = new HttpConnectionFactory(http);
-    ServerConnector connector =
-        detectClose
-            ? new CallerConnector(server, factory)
-            : new ServerConnector(server, null, null, null, 1, 1, factory);
+    ServerConnector connector = new CallerConnector(server, factory, budget);
     HostAndPort hostAndPort = HostAndPort.fromString(address);
     connector.setHost(hostAndPort.getHost());
     connector.setPort(hostAndPort.getPort());
@@ -77,10 +74,9 @@
     return server;
   }
 
-  /** Adds a listener that does not detect closed connections during requests. */
-  static void addListener(Server server, String host, int port) {
-    ServerConnector connector =
-        new ServerConnector(server, null, null, null, 1, 1, new HttpConnectionFactory());
+  /** Adds a listener whose callers share a budget with those of the others. */
+  static void addListener(Server server, String host, int port, IngressBudget budget) {
+    ServerConnector connector = new CallerConnector(server, new HttpConnectionFactory(), budget);
     connector.setHost(host);
     connector.setPort(port);
     connector.setIdleTimeout(CALLER_IDLE_MILLIS);
--- a/server/src/main/java/org/clementinequay/server/gateway/LingeringCloser.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/LingeringCloser.java
@@ -19,6 +19,10 @@
 
   private static final int LINGER_MILLIS = 250;
   private static final int POLL_MILLIS = 25;
+
+  /** Number of connections that linger at a time, unless the host stops. */
+  private static final int MAX_PENDING = 64;
+
   private static final int BUFFER_BYTES = 8 * 1024;
 
   /** Number of buffers that are read at a time, so that no caller keeps a thread busy. */
@@ -48,7 +52,9 @@
    */
   void close(SocketChannel channel, boolean alreadyRead, Scheduler scheduler, Runnable close) {
     Input input = drop(channel);
-    if (input == Input.ENDED || (input == Input.EMPTY && !alreadyRead && !lingersAlways)) {
+    boolean lingers =
+        lingersAlways || (pending.get() < MAX_PENDING && (alreadyRead || input == Input.DROPPED));
+    if (input == Input.ENDED || !lingers) {
       close.run();
       return;
     }
--- a/server/src/main/java/org/clementinequay/server/gateway/ReadinessHandler.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/ReadinessHandler.java
@@ -33,16 +33,22 @@
 
   @Override
   public boolean handle(Request request, Response response, Callback callback) {
+    CloseAwareEndPoint endPoint = CloseAwareEndPoint.of(request);
+    endPoint.beginRequest(request);
+    answer(request, response, Callback.from(endPoint::endRequest, callback));
+    return true;
+  }
+
+  private void answer(Request request, Response response, Callback callback) {
     if (Request.getPathInContext(request).equals(METRICS_PATH)) {
       response.getHeaders().put(HttpHeader.CONTENT_TYPE, "text/plain; version=0.0.4");
       response.write(
           true, ByteBuffer.wrap(metrics.get().getBytes(StandardCharsets.UTF_8)), callback);
-      return true;
+      return;
     }
     boolean ready =
         !draining && gateway.configuration().isPresent() && gateway.instanceListAgeNanos() >= 0;
     response.setStatus(ready ? HttpStatus.OK_200 : HttpStatus.SERVICE_UNAVAILABLE_503);
     callback.succeeded();
-    return true;
   }
 }
--- a/server/src/test/java/org/clementinequay/server/gateway/CloseAwareEndPointTest.java
+++ b/server/src/test/java/org/clementinequay/server/gateway/CloseAwareEndPointTest.java
@@ -11,6 +11,8 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import org.clementinequay.core.ingress.IngressBudget;
+import org.clementinequay.core.ingress.IngressLimits;
 import org.eclipse.jetty.server.Handler;
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
@@ -23,6 +25,7 @@
 
 /** Guards against closes of callers that a host notices only after it has started the work. */
 public class CloseAwareEndPointTest {
+  private static final IngressBudget BUDGET = new IngressBudget(new IngressLimits(1 << 20, 10, 10));
   private static final String REQUEST = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
   private static final long WAIT_SECONDS = 30;
 
@@ -40,7 +43,7 @@
       try (ServerSocket socket = new ServerSocket(0)) {
         port = socket.getLocalPort();
       }
-      server = JettyFactory.newServer("test", "127.0.0.1:" + port, new HoldingHandler(), true);
+      server = JettyFactory.newServer("test", "127.0.0.1:" + port, new HoldingHandler(), BUDGET);
       server.start();
       caller =
           new Socket("127.0.0.1", ((ServerConnector) server.getConnectors()[0]).getLocalPort());
--- a/server/src/test/java/org/clementinequay/server/gateway/CloseWithUnreadBytesTest.java
+++ b/server/src/test/java/org/clementinequay/server/gateway/CloseWithUnreadBytesTest.java
@@ -11,6 +11,8 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.TimeUnit;
+import org.clementinequay.core.ingress.IngressBudget;
+import org.clementinequay.core.ingress.IngressLimits;
 import org.eclipse.jetty.server.Handler;
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
@@ -24,6 +26,7 @@
 
 /** Guards against a reset that overtakes the end of a response that announced the close. */
 public class CloseWithUnreadBytesTest {
+  private static final IngressBudget BUDGET = new IngressBudget(new IngressLimits(1 << 20, 10, 10));
   private static final String REQUEST = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
   private static final int RECEIVE_BUFFER_BYTES = 4096;
   private static final int MAX_WAIT_MILLIS = 20_000;
@@ -36,7 +39,7 @@
     try (ServerSocket socket = new ServerSocket(0)) {
       port = socket.getLocalPort();
     }
-    server = JettyFactory.newServer("test", "127.0.0.1:" + port, new ClosingHandler(), true);
+    server = JettyFactory.newServer("test", "127.0.0.1:" + port, new ClosingHandler(), BUDGET);
     server.start();
     ((CallerConnector) server.getConnectors()[0]).startDraining();
     caller = new Socket();
@@ -105,7 +108,7 @@
     public boolean handle(Request request, Response response, Callback callback) {
       CloseAwareEndPoint endPoint =
           (CloseAwareEndPoint) request.getConnectionMetaData().getConnection().getEndPoint();
-      endPoint.beginRequest();
+      endPoint.beginRequest(request);
       response.getHeaders().put("Connection", "close");
       response.getHeaders().put("Content-Length", BODY_BYTES);
       Callback onEnd = Callback.from(() -> endPoint.endRequest(), callback);
