--- a/core/src/main/java/org/clementinequay/core/ingress/IngressLimits.java
+++ b/core/src/main/java/org/clementinequay/core/ingress/IngressLimits.java
@@ -14,10 +14,17 @@
   /** Part of the descriptors that callers may take; the rest is for upstreams, peers and files. */
   private static final double DESCRIPTOR_FRACTION = 0.75;
 
+  /** Part of the budget for each connection that may be open, in bytes. */
+  private static final int MIN_BYTES_PER_CONNECTION = 16 << 10;
+
   /** Returns the limits of a host with a heap and a number of descriptors. */
   public static IngressLimits ofMachine(long heapBytes, long maxDescriptors) {
-    int connections = (int) Math.min(Integer.MAX_VALUE, maxDescriptors * DESCRIPTOR_FRACTION);
-    return new IngressLimits((long) (heapBytes * HEAP_FRACTION), connections, connections);
+    long bytes = (long) (heapBytes * HEAP_FRACTION);
+    int connections =
+        (int)
+            Math.min(
+                bytes / MIN_BYTES_PER_CONNECTION, (long) (maxDescriptors * DESCRIPTOR_FRACTION));
+    return new IngressLimits(bytes, connections, connections);
   }
 
   /** Returns these limits with a bound on connections, by address no greater than in all. */
--- a/server/src/main/java/org/clementinequay/server/gateway/CallerConnector.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/CallerConnector.java
@@ -41,8 +41,11 @@
   /** Accepts a connection once few enough are open; those that are being closed count. */
   @Override
   public void accept(int acceptorId) throws IOException {
+    if (channels.size() > 2 * getConnectedEndPoints().size() + MAX_CLOSING) {
+      forgetClosed();
+    }
     while (isOpen() && channels.size() >= budget.maxConnections() + MAX_CLOSING) {
-      channels.removeIf(channel -> !channel.isOpen());
+      forgetClosed();
       if (channels.size() >= budget.maxConnections() + MAX_CLOSING) {
         try {
           TimeUnit.MILLISECONDS.sleep(ACCEPT_POLL_MILLIS);
@@ -55,6 +58,10 @@
     super.accept(acceptorId);
   }
 
+  private void forgetClosed() {
+    channels.removeIf(channel -> !channel.isOpen());
+  }
+
   @Override
   protected SocketChannelEndPoint newEndPoint(
       SocketChannel channel, ManagedSelector selector, SelectionKey key) {
