--- a/server/src/main/java/org/clementinequay/server/gateway/GatewaySettings.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/GatewaySettings.java
@@ -45,6 +45,10 @@
  *     the load of engines; never if it is absent or not positive
  * @param promptCache whether cached beginnings of prompts count when an engine is chosen; true if
  *     it is absent
+ * @param maxCallerBytes bytes that the host holds for callers; by the heap if it is absent
+ * @param maxConnections open connections of callers; by the descriptors if it is absent
+ * @param maxConnectionsPerAddress open connections of one address of callers; {@code
+ *     maxConnections} if it is absent
  */
 public record GatewaySettings(
     String name,
@@ -69,7 +73,10 @@
     Map<String, String> regions,
     JsonNode maxWaitingRequests,
     Double engineLoadHosts,
-    Boolean promptCache) {
+    Boolean promptCache,
+    JsonNode maxCallerBytes,
+    JsonNode maxConnections,
+    JsonNode maxConnectionsPerAddress) {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
   /** Largest number of requests that may wait; each keeps its body in memory. */
--- a/server/src/main/java/org/clementinequay/server/gateway/JettyFactory.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/JettyFactory.java
@@ -1,6 +1,7 @@
 package org.clementinequay.server.gateway;
 
 import com.google.common.net.HostAndPort;
+import org.clementinequay.core.ingress.IngressBudget;
 import org.clementinequay.server.upstream.BoundedHttpTransport;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.http.HttpCompliance;
@@ -35,9 +36,6 @@
   /** Time after which a pool ends a thread that it does not need, in milliseconds. */
   private static final int THREAD_IDLE_MILLIS = 2000;
 
-  /** None: the selector accepts, so that a listener needs no thread of its own for it. */
-  private static final int ACCEPTORS = 0;
-
   private static final int ACCEPT_QUEUE = 512;
 
   /** Idle timeout of caller connections in milliseconds; twice what the deployments configure. */
@@ -60,10 +58,9 @@
   /**
    * Returns a server with one listener that has not been started.
    *
-   * @param detectClose whether to use {@link CallerConnector}, which detects that a caller closes
-   *     its connection during a request
+   * @param budget what the listener may hold for its callers
    */
-  static Server newServer(String name, String address, Handler handler, boolean detectClose) {
+  static Server newServer(String name, String address, Handler handler, IngressBudget budget) {
     QueuedThreadPool threads = new QueuedThreadPool(SERVER_THREADS, KEPT_THREADS);
     threads.setName(name);
     threads.setReservedThreads(RESERVED_THREADS);
@@ -77,10 +74,7 @@
     http.setUriCompliance(UriCompliance.UNSAFE);
     http.setHttpCompliance(HttpCompliance.RFC7230);
     HttpConnectionFactory factory = new HttpConnectionFactory(http);
-    ServerConnector connector =
-        detectClose
-            ? new CallerConnector(server, factory)
-            : new ServerConnector(server, null, null, null, ACCEPTORS, 1, factory);
+    ServerConnector connector = new CallerConnector(server, factory, budget);
     HostAndPort hostAndPort = HostAndPort.fromString(address);
     connector.setHost(hostAndPort.getHost());
     connector.setPort(hostAndPort.getPort());
@@ -92,10 +86,9 @@
     return server;
   }
 
-  /** Adds a listener that does not detect closed connections during requests. */
-  static void addListener(Server server, String host, int port) {
-    ServerConnector connector =
-        new ServerConnector(server, null, null, null, ACCEPTORS, 1, new HttpConnectionFactory());
+  /** Adds a listener whose callers share a budget with those of the others. */
+  static void addListener(Server server, String host, int port, IngressBudget budget) {
+    ServerConnector connector = new CallerConnector(server, new HttpConnectionFactory(), budget);
     connector.setHost(host);
     connector.setPort(port);
     connector.setIdleTimeout(CALLER_IDLE_MILLIS);
