Probe an upstream at most once a second

Cause: each probe opens a connection, which some deployments price. Change: a result of the last second is used for all silences. Ruled out: no probe at all for engines that answered a moment ago; a stream's gap is shorter than that.

--- a/server/src/main/java/org/clementinequay/server/gateway/UpstreamReachability.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/UpstreamReachability.java
@@ -22,8 +22,8 @@
   /** Maximum number of results that are kept; the oldest yields. */
   private static final int MAX_RESULTS = 1024;
 
-  /** Age from which a result is renewed, in nanoseconds. */
-  private static final long RENEWAL_NANOS = 500_000_000L;
+  /** Least time between two probes of an upstream, in nanoseconds; each opens a connection. */
+  private static final long INTERVAL_NANOS = 1_000_000_000L;
 
   private final RuntimeClock clock;
   private final UpstreamProbe probe;
@@ -46,16 +46,16 @@
   }
 
   /**
-   * Returns what is known of an upstream since the given time, and has it probed if that is nothing
-   * or old.
+   * Returns what is known of an upstream since the given time or from the last second, and has it
+   * probed if the last probe is older than that.
    */
   synchronized Evidence evidence(UpstreamInstance upstream, long sinceNanos) {
     Probed probed = results.get(upstream.id());
-    boolean known = probed != null && probed.nanos() - sinceNanos >= 0;
-    if ((!known || clock.nanoTime() - probed.nanos() > RENEWAL_NANOS)
-        && !pending.contains(upstream)) {
+    boolean recent = probed != null && clock.nanoTime() - probed.nanos() < INTERVAL_NANOS;
+    if (!recent && !pending.contains(upstream)) {
       pending.offer(upstream);
     }
+    boolean known = recent || probed != null && probed.nanos() - sinceNanos >= 0;
     return known ? probed.evidence() : Evidence.NONE;
   }
 
