Give waiting and silence a step of their own

Cause: RequestForwarder and GatewayAttempt had grown again. Change: WaitStep and SilenceStep, with no change of behaviour but that a stopping host rejects a request that would have to wait as any other. Ruled out: state in AdmissionStep, which decides before each attempt.

--- a/server/src/main/java/org/clementinequay/server/gateway/GatewayAttempt.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/GatewayAttempt.java
@@ -2,11 +2,8 @@
 
 import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
-import java.util.Locale;
 import org.clementinequay.core.cascade.EscalationRule;
 import org.clementinequay.core.dispatch.CorruptStreamException;
-import org.clementinequay.core.dispatch.SilenceRule;
-import org.clementinequay.core.dispatch.StallRule;
 import org.clementinequay.core.forward.UpstreamInstance;
 import org.clementinequay.core.placement.EngineSelector;
 import org.clementinequay.server.upstream.UpstreamListener;
@@ -26,12 +23,6 @@
    */
   private static final int MAX_BUFFERED_BODY_BYTES = 1 << 20;
 
-  /** Time by which a silent upstream is probed before it may be given up, in milliseconds. */
-  private static final long PROBE_LEAD_MILLIS = 200;
-
-  /** Share of the attempts that need at most the usual time to the first event. */
-  private static final double USUAL_QUANTILE = 0.9;
-
   /** Confidence of a response that states none. */
   private static final int DEFAULT_CONFIDENCE = 100;
 
@@ -42,6 +33,7 @@
   final long startedNanos;
   private final AnswerJudge judge;
   private final StreamRelay relay;
+  private final SilenceStep silence;
   private final ByteArrayOutputStream bufferedBody = new ByteArrayOutputStream();
   UpstreamTransport.Call call;
   private ResponseHead head;
@@ -58,76 +50,26 @@
   boolean maybeSent;
 
   boolean slow;
-  private long lastReceivedNanos;
 
   GatewayAttempt(
       RequestForwarder forwarder, UpstreamInstance instance, EngineSelector.Choice choice) {
     this.forwarder = forwarder;
     this.gateway = forwarder.gateway;
     this.startedNanos = gateway.clock.nanoTime();
-    this.lastReceivedNanos = startedNanos;
     this.instance = instance;
     this.choice = choice;
     this.judge = new AnswerJudge(forwarder.request, forwarder.route.kind());
     this.relay = new StreamRelay(forwarder, instance.id());
+    this.silence = new SilenceStep(forwarder, instance, choice.prefillMillis(), relay);
   }
 
   /** Fails over to another upstream if this one is stalled and the budget allows a retry. */
   void checkProgress(long nowNanos) {
-    long silenceMillis = (nowNanos - lastReceivedNanos) / 1_000_000;
-    if (isStalled(nowNanos, 0)
-        && (!needsEvidence() || isConfirmed(silenceMillis))
-        && forwarder.tryRetryElsewhere()) {
-      failOver("no progress for " + silenceMillis + " ms");
-    } else if (needsEvidence() && isStalled(nowNanos, PROBE_LEAD_MILLIS)) {
-      // The result is there by the time at which it is needed.
-      evidence();
+    if (silence.isStalled(nowNanos) && forwarder.tryRetryElsewhere()) {
+      failOver("no progress for " + silence.millis(nowNanos) + " ms");
     }
   }
 
-  private boolean isStalled(long nowNanos, long leadMillis) {
-    long silenceMillis = (nowNanos - lastReceivedNanos) / 1_000_000;
-    long upstreamSilenceMillis =
-        Math.min(ageMillis(), gateway.engineSelector.silenceMillis(instance.id(), nowNanos));
-    StallRule.Progress progress =
-        new StallRule.Progress(
-            relay.begun(),
-            choice.prefillMillis(),
-            gateway.engineSelector.outstanding(instance.id()) > 1,
-            silenceMillis + leadMillis,
-            upstreamSilenceMillis + leadMillis);
-    return StallRule.isStalled(forwarder.route, progress);
-  }
-
-  /** Returns whether this host sees too little of an engine to judge it by its silence alone. */
-  private boolean needsEvidence() {
-    return forwarder.route.kind().streaming() && gateway.sharesEngines(forwarder.service);
-  }
-
-  private boolean isConfirmed(long silenceMillis) {
-    double usual =
-        gateway.firstEventTimes.quantile(
-            forwarder.service, USUAL_QUANTILE, gateway.clock.nanoTime());
-    return SilenceRule.moves(
-        forwarder.route, new SilenceRule.Silence(relay.begun(), silenceMillis, usual), evidence());
-  }
-
-  private SilenceRule.Evidence evidence() {
-    return gateway
-        .reachability
-        .map(reachability -> reachability.evidence(instance, lastReceivedNanos))
-        .orElse(SilenceRule.Evidence.UNREACHABLE);
-  }
-
-  /**
-   * Records progress: the head of a response or a new complete event. Other bytes are none, because
-   * an upstream in trouble may send bytes without end that are no answer.
-   */
-  private void recordReceived() {
-    lastReceivedNanos = gateway.clock.nanoTime();
-    gateway.engineSelector.recordReceived(instance.id(), lastReceivedNanos);
-  }
-
   /** Removes the work of this attempt from the load of the engine; later calls have no effect. */
   void release() {
     if (!released) {
@@ -172,7 +114,7 @@
     if (!isActive()) {
       return;
     }
-    recordReceived();
+    silence.recordReceived();
     ResponseHead response = gateway.protocol.decodeResponse(status, headers);
     if (!judge.isOwn(response)) {
       abandonAndFail("response to another request, or without authentication code");
@@ -241,11 +183,10 @@
     release();
     forwarder.history.recordMayHaveRun();
     boolean ejected = false;
-    if (needsEvidence() && evidence() == SilenceRule.Evidence.ACCEPTS_CONNECTIONS) {
+    if (silence.isBusy()) {
       gateway.health.recordAbandoned(instance.id());
-    } else {
-      ejected =
-          forwarder.route.kind().streaming() && gateway.health.recordUnreachable(instance.id());
+    } else if (forwarder.route.kind().streaming()) {
+      ejected = gateway.health.recordUnreachable(instance.id());
     }
     if (!relay.begun()) {
       gateway.firstEventTimes.record(forwarder.service, ageMillis(), gateway.clock.nanoTime());
@@ -261,7 +202,7 @@
         "reason",
         reason,
         "evidence",
-        needsEvidence() ? evidence().name().toLowerCase(Locale.ROOT) : "",
+        silence.evidenceLabel(),
         "ejected",
         ejected,
         "age_ms",
@@ -301,7 +242,7 @@
         if (!begun) {
           gateway.firstEventTimes.record(forwarder.service, ageMillis(), gateway.clock.nanoTime());
         }
-        recordReceived();
+        silence.recordReceived();
       }
     } catch (CorruptStreamException e) {
       abandonAndFail(e.getMessage());
@@ -409,7 +350,7 @@
       gateway.fullUpstreams.recordFull(
           instance.id(), gateway.random.nextDouble(), gateway.clock.nanoTime());
     }
-    forwarder.retryAfterRejection();
+    forwarder.waiting.retryAfterRejection();
   }
 
   private void upstreamFailed() {
--- a/server/src/main/java/org/clementinequay/server/gateway/RequestForwarder.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/RequestForwarder.java
@@ -7,7 +7,6 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
-import org.clementinequay.core.admission.AdmissionPolicy;
 import org.clementinequay.core.dispatch.EventSplitter;
 import org.clementinequay.core.forward.AccountKeys;
 import org.clementinequay.core.forward.ForwardingConfiguration;
@@ -32,8 +31,6 @@
   /** Time past the deadline in which an upstream may still report its timeout, in milliseconds. */
   static final long DEADLINE_GRACE_MILLIS = 100;
 
-  private static final String FULL = "the upstreams are full";
-
   final Gateway gateway;
   final GatewayRequest request;
   final Route route;
@@ -49,6 +46,7 @@
 
   final AttemptHistory history = new AttemptHistory();
   final AdmissionStep admission;
+  final WaitStep waiting;
   final AttemptPlacement placement;
   final EventSplitter events;
   final OpenCalls openCalls = new OpenCalls(this);
@@ -84,6 +82,7 @@
     this.sharedPartIds = request.sharedPartIds();
     this.placement = new AttemptPlacement(gateway, request, route, service);
     this.admission = new AdmissionStep(this);
+    this.waiting = new WaitStep(this);
     this.events = new EventSplitter(request.lastEventId().orElse(0));
   }
 
@@ -189,7 +188,7 @@
     reject(admission.stopRejection());
   }
 
-  private void reject(AdmissionStep.Rejection rejection) {
+  void reject(AdmissionStep.Rejection rejection) {
     fail(rejection.status(), rejection.reason(), rejection.retryAfterSeconds());
   }
 
@@ -203,6 +202,26 @@
         });
   }
 
+  /** Lets the request, which waits, start if there is room. */
+  void checkRoom() {
+    update(
+        () -> {
+          if (!finished && current == null) {
+            waiting.checkRoom();
+          }
+        });
+  }
+
+  /** Ends the request, which waits, because others that come first take its place. */
+  void yieldRoom() {
+    update(
+        () -> {
+          if (!finished && current == null) {
+            waiting.yieldPlace();
+          }
+        });
+  }
+
   void startAttempt() {
     if (finished) {
       return;
@@ -216,12 +235,11 @@
       reject(rejection.get());
       return;
     }
-    Optional<AttemptPlacement.Selection> selection = placement.select(admission.excluded());
+    Optional<AttemptPlacement.Selection> selection = placement.select(waiting.excluded());
     if (selection.isEmpty()) {
       selection = placement.selectAgain(history.takeSilent());
     }
-    if (selection.isEmpty() && admission.canWait() && placement.hasCandidate(history.tried())) {
-      waitForRoom();
+    if (selection.isEmpty() && waiting.waitsForFirstOffer()) {
       return;
     }
     if (selection.isEmpty()) {
@@ -231,76 +249,7 @@
     send(selection.get().instance(), selection.get().choice());
   }
 
-  /** Offers the request, which an upstream rejected, to another one, or lets it wait for room. */
-  void retryAfterRejection() {
-    if (!admission.canWait() || canAttemptAgain() && placement.hasCandidate(admission.excluded())) {
-      retryOrFail(AttemptEnd.NOT_RUN, FULL);
-    } else {
-      waitForRoom();
-    }
-  }
-
-  private void waitForRoom() {
-    if (admission.decide(false) == AdmissionPolicy.Decision.REJECT || !admission.canFinish()) {
-      reject(admission.roomRejection(FULL));
-      return;
-    }
-    admission.recordWaiting();
-    log("waits", "attempts", history.count(), "waiting", gateway.waiting.size());
-    gateway
-        .waiting
-        .add(this, urgency(), times.deadlineNanos())
-        .ifPresent(last -> openCalls.add(last::yieldRoom));
-  }
-
-  /** Ends the request, which waited, because others that come first take its place. */
-  private void yieldRoom() {
-    update(
-        () -> {
-          if (!finished && current == null) {
-            reject(admission.roomRejection(FULL));
-          }
-        });
-  }
-
-  /** Starts the request, which waits, if there is room, or rejects it if it waited too long. */
-  void checkRoom() {
-    update(
-        () -> {
-          if (finished || current != null) {
-            return;
-          }
-          boolean other = canAttemptAgain() && placement.hasCandidate(admission.excluded());
-          AdmissionPolicy.Decision decision =
-              admission.decide(other || !admission.offeredAgain().isEmpty());
-          if (decision == AdmissionPolicy.Decision.WAIT) {
-            return;
-          }
-          gateway.waiting.remove(this);
-          if (decision == AdmissionPolicy.Decision.REJECT
-              || history.count() > 0 && !gateway.tryRetry(service)) {
-            reject(admission.roomRejection(FULL));
-          } else if (other) {
-            startAttempt();
-          } else {
-            offerAgain();
-          }
-        });
-  }
-
-  private void offerAgain() {
-    Optional<AdmissionStep.Rejection> rejection = admission.rejection();
-    if (rejection.isPresent()) {
-      reject(rejection.get());
-      return;
-    }
-    placement
-        .selectAgain(admission.offeredAgain())
-        .ifPresentOrElse(
-            selection -> send(selection.instance(), selection.choice()), this::waitForRoom);
-  }
-
-  private void send(UpstreamInstance instance, EngineSelector.Choice choice) {
+  void send(UpstreamInstance instance, EngineSelector.Choice choice) {
     long remaining = times.remainingMillis();
     history.recordStart(instance.id());
     gateway.fullUpstreams.recordOffer(instance.id(), gateway.clock.nanoTime());
@@ -365,7 +314,8 @@
                 gateway.sessions.recordUse(session, instance.version(), gateway.clock.nanoTime()));
   }
 
-  private int urgency() {
+  /** Returns the rank of the request, which its account or else its route sets; 0 is first. */
+  int urgency() {
     return Math.min(
         9, account.map(AccountKeys::priority).orElse(OptionalInt.empty()).orElse(route.priority()));
   }
@@ -410,7 +360,8 @@
         && (!end.usesRetryBudget() || gateway.tryRetry(service));
   }
 
-  private boolean canAttemptAgain() {
+  /** Returns whether the route, the remaining time and a stop allow another attempt. */
+  boolean canAttemptAgain() {
     return history.count() < route.maxAttempts() && times.allowsAttempt() && admission.canFinish();
   }
 
