--- a/server/src/main/java/org/clementinequay/server/gateway/GatewayHost.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/GatewayHost.java
@@ -9,7 +9,6 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Locale;
 import java.util.Optional;
 import java.util.Set;
 import org.clementinequay.core.Incarnation;
@@ -18,8 +17,6 @@
 import org.clementinequay.core.dispatch.RetryShare;
 import org.clementinequay.core.dispatch.RetryWindow;
 import org.clementinequay.core.ingress.IngressBudget;
-import org.clementinequay.core.ingress.TurnAway;
-import org.clementinequay.core.placement.EngineSelector;
 import org.clementinequay.core.platform.HostEntry;
 import org.clementinequay.core.spread.ReadSchedule;
 import org.clementinequay.core.spread.StoreClock;
@@ -126,49 +123,16 @@
       JettyFactory.addListener(readyServer, host, settings.metrics(), checks);
     }
     metrics.registerGauge("clementinequay_open_requests", handler::openRequests);
-    metrics.registerGauge("clementinequay_waiting_requests", gateway.waiting::size);
     metrics.registerGauge("clementinequay_log_dropped", log::dropped);
-    metrics.registerGauge(
-        "clementinequay_configuration_version",
-        () -> gateway.configuration().map(c -> (double) c.version()).orElse(0.0));
-    metrics.registerGauge(
-        "clementinequay_upstream_list_age_seconds", () -> gateway.instanceListAgeNanos() / 1e9);
-    metrics.registerGauge(
-        "clementinequay_cold_upstreams", () -> gateway.coldStarts.coldUpstreams(clock.nanoTime()));
-    metrics.registerGauge(
-        "clementinequay_cold_start_slots", () -> gateway.coldStarts.shares(clock.nanoTime()));
-    metrics.registerGauge(
-        "clementinequay_cold_start_held_back", () -> gateway.coldStarts.heldBack());
-    metrics.registerGauge(
-        "clementinequay_evacuated_domains", () -> gateway.evacuated.names().size());
-    metrics.registerGauge(
-        "clementinequay_quarantined_prompt_parts",
-        () -> gateway.crashGuard.quarantinedParts().size());
-    metrics.registerGauge(
-        "clementinequay_engine_load_hosts_heard",
-        () -> gateway.engineSelector.exchange().heardHosts(clock.nanoTime()));
-    for (EngineSelector.Basis basis : EngineSelector.Basis.values()) {
-      metrics.registerGauge(
-          "clementinequay_placements_by_" + basis.name().toLowerCase(Locale.ROOT),
-          () -> gateway.engineSelector.choices(basis));
-    }
+    GatewayGauges.registerState(metrics, gateway);
     IngressTask ingress = new IngressTask(gateway, List.of(callers, checks));
     addTask("ingress", ingress::step);
-    metrics.registerGauge("clementinequay_caller_bytes", callers::bytes);
-    metrics.registerGauge("clementinequay_caller_connections", callers::connections);
-    for (TurnAway limit : TurnAway.values()) {
-      metrics.registerGauge(
-          "clementinequay_turned_away_" + limit.label(), () -> ingress.turnedAway(limit));
-    }
+    GatewayGauges.registerCallers(metrics, callers, ingress);
     PeerIdentity identity = newIdentity(settings);
     this.peers = newPeerNetwork(identity, registry);
     addStoreTasks(platform, new StoreReaderRole(identity, peers, clock, log));
     addTask("reachability", reachability::step);
-    EngineLoadTask engineLoad =
-        new EngineLoadTask(
-            gateway, peers::broadcast, peers::listedHosts, settings.engineLoadHosts().intValue());
-    peers.addListener(engineLoad);
-    addTask("engine-load", engineLoad::step);
+    addEngineLoadTask();
     addTask("watch", new RequestWatchdog(gateway)::step);
     HostEntry self =
         new HostEntry(settings.name(), "entry", settings.domain(), settings.peers(), false);
@@ -176,6 +140,14 @@
     addTask("registration", new HostRegistrationTask(registry, self, log)::step);
   }
 
+  private void addEngineLoadTask() {
+    EngineLoadTask engineLoad =
+        new EngineLoadTask(
+            gateway, peers::broadcast, peers::listedHosts, settings.engineLoadHosts().intValue());
+    peers.addListener(engineLoad);
+    addTask("engine-load", engineLoad::step);
+  }
+
   private int listedHosts() {
     return peers.listedHosts();
   }
