Draw the bound on the load for a prefix, so that hosts do not move a popular one together

Ruled out: bounds from 0 to 2, which read a third of the shared tokens again; two or five copies instead of three, which differ little.

--- a/core/src/main/java/org/clementinequay/core/placement/SelectionRule.java
+++ b/core/src/main/java/org/clementinequay/core/placement/SelectionRule.java
@@ -47,11 +47,11 @@
       }
       if (demand.prefixKey() != 0) {
         double mean = engines.stream().mapToDouble(Estimate::waitMillis).average().orElse(0);
-        double bound =
-            LOAD_BOUND * mean + demand.workMillis() + SAVING_FACTOR * demand.savedMillis();
+        double slack = demand.workMillis() + SAVING_FACTOR * demand.savedMillis();
         Basis basis = Basis.PREFIX;
         for (Estimate engine : inHashOrder(engines, demand)) {
-          if (engine.waitMillis() <= bound) {
+          double bound = MIN_LOAD_BOUND + random.nextDouble() * (MAX_LOAD_BOUND - MIN_LOAD_BOUND);
+          if (engine.waitMillis() <= bound * mean + slack) {
             return new Selection(engine, basis);
           }
           basis = Basis.PREFIX_COPY;
@@ -66,8 +66,13 @@
   /** Engines that may get copies of a prefix. */
   private static final int MAX_COPIES = 3;
 
-  /** Load that an engine may have for the sake of a prefix, relative to the mean. */
-  private static final double LOAD_BOUND = 1.5;
+  /**
+   * Load that an engine may have for the sake of a prefix, relative to the mean. The bound is drawn
+   * between these, because with the same bound all hosts would move a popular prefix together.
+   */
+  private static final double MIN_LOAD_BOUND = 1;
+
+  private static final double MAX_LOAD_BOUND = 2;
 
   /**
    * Milliseconds of work by which an engine may be ahead for a saved millisecond of prefill. Work
--- a/core/src/test/java/org/clementinequay/core/placement/EngineFleet.java
+++ b/core/src/test/java/org/clementinequay/core/placement/EngineFleet.java
@@ -98,6 +98,7 @@
   private final int hosts;
   private final double load;
   private final Router router;
+  private double hotShare;
   private final SplittableRandom random = new SplittableRandom(7);
   private final PriorityQueue<Event> events =
       new PriorityQueue<>(
@@ -120,6 +121,11 @@
     }
   }
 
+  /** Makes a share of the requests of each kind ask for the same subject. */
+  void setHotShare(double share) {
+    hotShare = share;
+  }
+
   Result run() {
     schedule(0, this::arrive);
     schedule(0, this::tick);
@@ -191,7 +197,8 @@
     double draw = random.nextDouble();
     Kind kind = draw < Kind.LONG.share ? Kind.LONG : draw < 0.615 ? Kind.SHORT : Kind.TAG;
     double pace = random.nextDouble() < LARGE_MODEL_SHARE ? 3.0 : 0.3;
-    int subject = (int) (kind.subjects * Math.pow(random.nextDouble(), 1.4));
+    boolean hot = random.nextDouble() < hotShare;
+    int subject = hot ? 0 : (int) (kind.subjects * Math.pow(random.nextDouble(), 1.4));
     PromptPrefix prefix =
         new PromptPrefix(
             "m" + pace,
--- a/core/src/test/java/org/clementinequay/core/placement/EnginePlacementTest.java
+++ b/core/src/test/java/org/clementinequay/core/placement/EnginePlacementTest.java
@@ -23,6 +23,9 @@
   /** Share of requests that may be late at 95 % load; their users leave when every tenth is. */
   private static final double MAX_LATE_SHARE = 0.05;
 
+  /** Largest share of the requests of a kind for one subject, according to deployment sheets. */
+  private static final double HOT_SHARE = 0.28;
+
   /** Share of requests that may be late at 70 % load. */
   private static final double MAX_LATE_SHARE_AT_EASE = 0.01;
 
@@ -47,6 +50,15 @@
       assertTrue(shared.lateShare() <= MAX_LATE_SHARE_AT_EASE, shared.toString());
     }
 
+    @Test(dataProvider = "fleets")
+    public void popularPrefixMakesNoHotSpot(int hosts, double[] speeds) {
+      Hosts router = new Hosts(Policy.SHARED, hosts, 0);
+      router.fleet = new EngineFleet(hosts, engines(hosts), speeds, 0.7, router);
+      router.fleet.setHotShare(HOT_SHARE);
+      EngineFleet.Result result = router.fleet.run();
+      assertTrue(result.lateShare() <= MAX_LATE_SHARE, result.toString());
+    }
+
     @Test
     public void lostReportsCostLittle() {
       EngineFleet.Result result = play(Policy.SHARED, 111, UNEVEN, 0.95, 0.5);
@@ -69,11 +81,15 @@
     SHARED
   }
 
+  private static int engines(int hosts) {
+    return Math.max(6, hosts * 42 / 111);
+  }
+
   /** Plays a policy at a share of the engines' capacity, with a share of the reports lost. */
   private static EngineFleet.Result play(
       Policy policy, int hosts, double[] speeds, double load, double lossShare) {
     Hosts router = new Hosts(policy, hosts, lossShare);
-    router.fleet = new EngineFleet(hosts, Math.max(6, hosts * 42 / 111), speeds, load, router);
+    router.fleet = new EngineFleet(hosts, engines(hosts), speeds, load, router);
     return router.fleet.run();
   }
 
