--- a/server/src/main/java/org/clementinequay/server/gateway/AdmissionStep.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/AdmissionStep.java
@@ -41,6 +41,13 @@
     if (mustRefuseForStop()) {
       return Optional.of(stopRejection());
     }
+    if (forwarder.placement.exceedsEngineMemory()) {
+      return Optional.of(
+          new Rejection(
+              history.failureStatus(),
+              "the prompt exceeds the memory of an engine",
+              ErrorResponses.DEFAULT_RETRY_AFTER_SECONDS));
+    }
     Optional<Rejection> hopeless = forwarder.waiting.hopelessRejection();
     return hopeless.isPresent() ? hopeless : quarantined().map(this::quarantineRejection);
   }
