Count connections that are being closed in the limit of connections

Cause: in the siege a host had 254 and 259 descriptors where 250 are allowed: connections that linger were beyond the limit, and the listener for the readiness check had 64 of its own. Change: unused connections are closed for new ones from 15/16 of the limit on, and no connection is accepted beyond it; the other listeners have an eighth of it each. IngressBudgetTest passes.

--- a/core/src/main/java/org/clementinequay/core/ingress/IngressBudget.java
+++ b/core/src/main/java/org/clementinequay/core/ingress/IngressBudget.java
@@ -72,7 +72,7 @@
     return bytes;
   }
 
-  /** Returns the number of connections beyond which others are closed for new ones. */
+  /** Returns the limit of open connections, also those that are being closed. */
   public int maxConnections() {
     return limits.maxConnections();
   }
@@ -103,7 +103,7 @@
     int ofAddress = connectionsByAddress.merge(address, 1, Integer::sum);
     if (ofAddress > limits.maxConnectionsPerAddress()) {
       closeUnused(share, TurnAway.CONNECTIONS_OF_ADDRESS, other -> other.address.equals(address));
-    } else if (shares.size() >= limits.maxConnections()) {
+    } else if (shares.size() >= limits.connectionsInUse()) {
       closeUnused(share, TurnAway.CONNECTIONS, other -> true);
     }
     shares.add(share);
--- a/core/src/main/java/org/clementinequay/core/ingress/IngressLimits.java
+++ b/core/src/main/java/org/clementinequay/core/ingress/IngressLimits.java
@@ -4,7 +4,7 @@
  * Limits of what a listener holds for its callers.
  *
  * @param maxBytes bytes held for all callers
- * @param maxConnections open connections
+ * @param maxConnections open connections, also those that are being closed
  * @param maxConnectionsPerAddress open connections of one address
  */
 public record IngressLimits(long maxBytes, int maxConnections, int maxConnectionsPerAddress) {
@@ -14,6 +14,9 @@
   /** Part of the descriptors that callers may take; the rest is for upstreams, peers and files. */
   private static final double DESCRIPTOR_FRACTION = 0.75;
 
+  /** Divisor for the part of the connections that may be open while others are closed for them. */
+  private static final int CLOSING_DIVISOR = 16;
+
   /** Part of the budget for each connection that may be open, in bytes. */
   private static final int MIN_BYTES_PER_CONNECTION = 16 << 10;
 
@@ -36,4 +39,9 @@
   public IngressLimits withBytes(long bytes) {
     return new IngressLimits(bytes, maxConnections, maxConnectionsPerAddress);
   }
+
+  /** Returns the number of open connections beyond which unused ones are closed for new ones. */
+  public int connectionsInUse() {
+    return Math.max(1, maxConnections - Math.max(1, maxConnections / CLOSING_DIVISOR));
+  }
 }
--- a/server/src/main/java/org/clementinequay/server/gateway/CallerConnector.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/CallerConnector.java
@@ -19,8 +19,8 @@
 public final class CallerConnector extends ServerConnector {
   private final LingeringCloser closer = new LingeringCloser();
 
-  /** Connections beyond the limit that may be open while others are closed for them. */
-  private static final int MAX_CLOSING = 16;
+  /** Number of closed connections that are remembered, beside as many as are open. */
+  private static final int MAX_CLOSED = 16;
 
   private static final long ACCEPT_POLL_MILLIS = 5;
 
@@ -41,12 +41,12 @@
   /** Accepts a connection once few enough are open; those that are being closed count. */
   @Override
   public void accept(int acceptorId) throws IOException {
-    if (channels.size() > 2 * getConnectedEndPoints().size() + MAX_CLOSING) {
+    if (channels.size() > 2 * getConnectedEndPoints().size() + MAX_CLOSED) {
       forgetClosed();
     }
-    while (isOpen() && channels.size() >= budget.maxConnections() + MAX_CLOSING) {
+    while (isOpen() && channels.size() >= budget.maxConnections()) {
       forgetClosed();
-      if (channels.size() >= budget.maxConnections() + MAX_CLOSING) {
+      if (channels.size() >= budget.maxConnections()) {
         try {
           TimeUnit.MILLISECONDS.sleep(ACCEPT_POLL_MILLIS);
         } catch (InterruptedException e) {
--- a/server/src/main/java/org/clementinequay/server/gateway/CallerLimitSettings.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/CallerLimitSettings.java
@@ -20,7 +20,10 @@
   private static final long DEFAULT_DESCRIPTORS = 1024;
 
   private static final long READY_BYTES = 2 << 20;
-  private static final int READY_CONNECTIONS = 64;
+  private static final int MAX_READY_CONNECTIONS = 64;
+
+  /** Divisor of the connections of callers that gives those of the other listeners. */
+  private static final int READY_DIVISOR = 8;
 
   private CallerLimitSettings() {}
 
@@ -39,8 +42,10 @@
   }
 
   /** Returns the limits of the listeners for the readiness check and the metrics together. */
-  static IngressLimits ready() {
-    return new IngressLimits(READY_BYTES, READY_CONNECTIONS, READY_CONNECTIONS);
+  static IngressLimits ready(IngressLimits callers) {
+    int connections =
+        Math.max(1, Math.min(MAX_READY_CONNECTIONS, callers.maxConnections() / READY_DIVISOR));
+    return new IngressLimits(READY_BYTES, connections, connections);
   }
 
   private static long orDefault(String name, JsonNode value, long machineLimit) {
