--- a/core/src/main/java/org/clementinequay/core/admission/FirstEventTimes.java
+++ b/core/src/main/java/org/clementinequay/core/admission/RecentTimes.java
@@ -5,14 +5,13 @@
 import java.util.Map;
 
 /**
- * Times from the start of an attempt to its first event, by service, as this host saw them in the
- * last seconds. Load: the queues of all engines grow; a host that adds up only its own requests
- * does not see them, but its last answers show them. Attempts that were given up count with the
- * time that they had waited, so that the estimate does not follow the lucky ones alone.
- * Thread-safe.
+ * Times of a kind, such as those to the first event at a service, as this host saw them in the last
+ * seconds. Load: the queues of all engines grow; a host that adds up only its own requests does not
+ * see them, but its last answers show them. Attempts that were given up count with the time that
+ * they had waited, so that the estimate does not follow the lucky ones alone. Thread-safe.
  */
-public final class FirstEventTimes {
-  /** Number of times that are kept for each service. */
+public final class RecentTimes {
+  /** Number of times that are kept for each kind. */
   private static final int SAMPLES = 64;
 
   /** Number of times below which nothing is known. */
@@ -21,8 +20,8 @@
   /** Age from which a time says nothing about the load any more, in nanoseconds. */
   private static final long MAX_AGE_NANOS = 5_000_000_000L;
 
-  /** Number of services that are kept; the one that was recorded least recently yields. */
-  private static final int MAX_SERVICES = 64;
+  /** Number of kinds that are kept; the one that was recorded least recently yields. */
+  private static final int MAX_KINDS = 64;
 
   private final Map<String, Window> windows =
       new LinkedHashMap<>(16, 0.75f, true) {
@@ -30,13 +29,13 @@
 
         @Override
         protected boolean removeEldestEntry(Map.Entry<String, Window> eldest) {
-          return size() > MAX_SERVICES;
+          return size() > MAX_KINDS;
         }
       };
 
   /** Records a time in milliseconds. */
-  public synchronized void record(String service, long millis, long nowNanos) {
-    windows.computeIfAbsent(service, s -> new Window()).add(millis, nowNanos);
+  public synchronized void record(String kind, double millis, long nowNanos) {
+    windows.computeIfAbsent(kind, k -> new Window()).add(millis, nowNanos);
   }
 
   /**
@@ -44,18 +43,18 @@
    *
    * @param share share of the attempts that needed at most this time
    */
-  public synchronized double quantile(String service, double share, long nowNanos) {
-    Window window = windows.get(service);
+  public synchronized double quantile(String kind, double share, long nowNanos) {
+    Window window = windows.get(kind);
     return window == null ? 0 : window.quantile(share, nowNanos);
   }
 
   private static final class Window {
-    private final long[] millis = new long[SAMPLES];
+    private final double[] millis = new double[SAMPLES];
     private final long[] nanos = new long[SAMPLES];
     private int count;
     private int next;
 
-    private void add(long value, long nowNanos) {
+    private void add(double value, long nowNanos) {
       millis[next] = value;
       nanos[next] = nowNanos;
       next = (next + 1) % SAMPLES;
@@ -63,7 +62,7 @@
     }
 
     private double quantile(double share, long nowNanos) {
-      long[] recent = new long[count];
+      double[] recent = new double[count];
       int size = 0;
       for (int i = 0; i < count; i++) {
         if (nowNanos - nanos[i] <= MAX_AGE_NANOS) {
