Copy no set of upstreams while none is full

Cause: each attempt copied the upstreams it had tried and asked about each listed one, although mostly none is full. Change: the full ones are asked for once. Ruled out: none.

--- a/core/src/main/java/org/clementinequay/core/admission/FullUpstreams.java
+++ b/core/src/main/java/org/clementinequay/core/admission/FullUpstreams.java
@@ -2,6 +2,7 @@
 
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
 
@@ -52,6 +53,16 @@
     return pause != null && nowNanos - pause.endNanos() < 0;
   }
 
+  /** Returns all upstreams to which no request is offered now. */
+  public synchronized Set<String> allFull(long nowNanos) {
+    if (pauses.isEmpty()) {
+      return Set.of();
+    }
+    Set<String> full = new HashSet<>(pauses.keySet());
+    full.removeIf(upstream -> !full(upstream, nowNanos));
+    return full;
+  }
+
   /** Returns the time until the first of the upstreams is offered requests again, 0 if one is. */
   public synchronized long nanosUntilRoom(Collection<String> upstreams, long nowNanos) {
     long least = Long.MAX_VALUE;
--- a/server/src/main/java/org/clementinequay/server/gateway/WaitStep.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/WaitStep.java
@@ -34,15 +34,12 @@
 
   /** Returns the upstreams to which the request is not offered now, tried ones included. */
   Set<String> excluded() {
-    Set<String> excluded = new HashSet<>(forwarder.history.tried());
-    if (canWait()) {
-      long now = gateway.clock.nanoTime();
-      for (UpstreamInstance upstream : gateway.available(forwarder.service)) {
-        if (gateway.fullUpstreams.full(upstream.id(), now)) {
-          excluded.add(upstream.id());
-        }
-      }
+    Set<String> full = gateway.fullUpstreams.allFull(gateway.clock.nanoTime());
+    if (full.isEmpty() || !canWait()) {
+      return forwarder.history.tried();
     }
+    Set<String> excluded = new HashSet<>(forwarder.history.tried());
+    excluded.addAll(full);
     return excluded;
   }
 
