Move the simulation of many hosts to the policy benchmarks

bin/bench policy engines prints the table of docs/policy.md; the tests keep their bounds. The engine of the simulation has a cache of its own, so that a fault in PrefixCache cannot hide in both.

--- a/core/src/test/java/org/clementinequay/core/placement/EngineFleet.java
+++ b/bench/src/main/java/org/clementinequay/bench/policy/EngineFleet.java
@@ -1,14 +1,19 @@
-package org.clementinequay.core.placement;
+package org.clementinequay.bench.policy;
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.PriorityQueue;
 import java.util.Queue;
+import java.util.Set;
 import java.util.SplittableRandom;
+import org.clementinequay.core.placement.EngineSelector;
+import org.clementinequay.core.placement.EngineWork;
+import org.clementinequay.core.placement.PromptPrefix;
 
 /**
  * Plays requests of many hosts on engines with continuous batching, in virtual time. An engine
@@ -105,7 +110,7 @@
           (a, b) -> a.at == b.at ? Long.compare(a.number, b.number) : Double.compare(a.at, b.at));
   private final Map<String, SimulatedEngine> engines = new LinkedHashMap<>();
   private final List<Double> firstEvents = new ArrayList<>();
-  private final Map<Long, Boolean> readSomewhere = new HashMap<>();
+  private final Set<String> readSomewhere = new HashSet<>();
   private long number;
   private int late;
   private long readAgain;
@@ -151,8 +156,7 @@
     SimulatedEngine simulated = engines.get(engine);
     return (simulated.remainingMillis()
             + request.work.weight()
-                * (request.work.promptTokens()
-                    - simulated.cache.cachedTokens(request.prefix, request.prefix.keys()))
+                * (request.work.promptTokens() - simulated.cachedTokens(request.prefix))
                 / PROMPT_TOKENS_PER_MILLI)
         / simulated.speed;
   }
@@ -221,7 +225,8 @@
     private final double speed;
     private final List<Request> runs = new ArrayList<>();
     private final Queue<Request> queue = new ArrayDeque<>();
-    private final PrefixCache cache = new PrefixCache();
+    private final Map<String, Integer> cache = new LinkedHashMap<>(16, 0.75f, true);
+    private long cacheTokens;
     private boolean stepping;
 
     private SimulatedEngine(double speed) {
@@ -269,18 +274,35 @@
       schedule(now + millis / speed, this::endStep);
     }
 
+    private int cachedTokens(PromptPrefix prefix) {
+      int cached = 0;
+      StringBuilder key = new StringBuilder(prefix.model());
+      for (PromptPrefix.Part part : prefix.parts()) {
+        if (!cache.containsKey(key.append('/').append(part.id()).toString())) {
+          break;
+        }
+        cached += part.tokens();
+      }
+      return cached;
+    }
+
     private void admit(Request request) {
-      long[] keys = request.prefix.keys();
-      int cached = cache.cachedTokens(request.prefix, keys);
+      int cached = cachedTokens(request.prefix);
       request.promptLeft = request.work.promptTokens() - cached;
       int known = 0;
-      for (int i = 0; i < keys.length; i++) {
-        known +=
-            readSomewhere.put(keys[i], true) == null ? 0 : request.prefix.parts().get(i).tokens();
+      StringBuilder key = new StringBuilder(request.prefix.model());
+      for (PromptPrefix.Part part : request.prefix.parts()) {
+        key.append('/').append(part.id());
+        known += readSomewhere.add(key.toString()) ? 0 : part.tokens();
+        cacheTokens += cache.put(key.toString(), part.tokens()) == null ? part.tokens() : 0;
+      }
+      Iterator<Integer> eldest = cache.values().iterator();
+      while (cacheTokens > MEMORY_TOKENS) {
+        cacheTokens -= eldest.next();
+        eldest.remove();
       }
       kept += cached;
       readAgain += Math.max(0, known - cached);
-      cache.record(request.prefix, MEMORY_TOKENS);
       runs.add(request);
     }
 
--- a/bench/src/main/java/org/clementinequay/bench/policy/PolicyBench.java
+++ b/bench/src/main/java/org/clementinequay/bench/policy/PolicyBench.java
@@ -14,7 +14,7 @@
  */
 public final class PolicyBench {
   private static final String USAGE =
-      "usage: bench policy [cascade|escalation|rollout|placement|limits|all] [--seed N] [--out DIRECTORY]";
+      "usage: bench policy [cascade|escalation|rollout|placement|engines|limits|all] [--seed N] [--out DIRECTORY]";
 
   private PolicyBench() {}
 
@@ -40,7 +40,8 @@
       return 2;
     }
     List<String> measurements = options.valuesOf(names);
-    List<String> all = List.of("cascade", "escalation", "rollout", "placement", "limits");
+    List<String> all =
+        List.of("cascade", "escalation", "rollout", "placement", "engines", "limits");
     if (measurements.isEmpty() || measurements.contains("all")) {
       measurements = all;
     }
@@ -62,6 +63,7 @@
       case "escalation" -> new EscalationBench(results).run();
       case "rollout" -> new RolloutBench(results).run();
       case "placement" -> new PlacementBench(results).run();
+      case "engines" -> new EngineBench(results).run();
       case "limits" -> new LimitsBench(results).run();
       default -> throw new IllegalArgumentException(name);
     }
