--- a/server/src/main/java/org/clementinequay/server/gateway/Gateway.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/Gateway.java
@@ -12,8 +12,12 @@
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.IntSupplier;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
+import org.clementinequay.core.admission.FullUpstreams;
+import org.clementinequay.core.admission.RecentTimes;
+import org.clementinequay.core.admission.WaitingRequests;
 import org.clementinequay.core.coldstart.ColdStartLimiter;
 import org.clementinequay.core.dispatch.RetryWindow;
 import org.clementinequay.core.dispatch.UpstreamHealthTracker;
@@ -26,6 +30,7 @@
 import org.clementinequay.core.forward.ServiceProfile;
 import org.clementinequay.core.forward.UpstreamInstance;
 import org.clementinequay.core.placement.EngineSelector;
+import org.clementinequay.core.placement.OutputLengths;
 import org.clementinequay.core.rollout.ShiftOrder;
 import org.clementinequay.core.rollout.SlowAnswerDetector;
 import org.clementinequay.core.rollout.TrafficShift;
@@ -49,6 +54,9 @@
    */
   private static final long SERVING_WINDOW_MILLIS = 1000;
 
+  /** Number of engines for each host below which the hosts share them. */
+  private static final int ENGINES_PER_HOST = 2;
+
   /** Maximum number of stalled attempts that wait to be looked at; further ones are dropped. */
   private static final int MAX_PENDING_STALLED = 256;
 
@@ -60,7 +68,13 @@
 
   final UpstreamHealthTracker health;
   final Set<RequestForwarder> activeRequests = ConcurrentHashMap.newKeySet();
-  final EngineSelector engineSelector = new EngineSelector();
+  final EngineSelector engineSelector;
+
+  final OutputLengths outputLengths = new OutputLengths();
+
+  /** Whether cached beginnings of prompts count when an engine is chosen. */
+  final boolean promptCache;
+
   final SessionVersions sessions;
   final SlowAnswerDetector slowAnswers = new SlowAnswerDetector();
 
@@ -73,6 +87,21 @@
   /** Failure domains whose upstreams get no new requests. */
   final EvacuatedDomains evacuated = new EvacuatedDomains();
 
+  /** Times from the start of an attempt to its first event, by service. */
+  final RecentTimes firstEventTimes = new RecentTimes();
+
+  /** Times for each token of a stream, by service and model. */
+  final RecentTimes tokenTimes = new RecentTimes();
+
+  final FullUpstreams fullUpstreams = new FullUpstreams();
+
+  /** Requests that wait for room; none does unless the settings allow it. */
+  final WaitingRequests<RequestForwarder> waiting;
+
+  /** Probes of silent upstreams; without them silence alone moves a request. */
+  final Optional<UpstreamReachability> reachability;
+
+  private final IntSupplier listedHosts;
   final CrashGuard crashGuard;
   final RandomGenerator random;
   final String hostName;
@@ -98,12 +127,17 @@
     this.log = Objects.requireNonNull(builder.log);
     this.observer = Objects.requireNonNull(builder.observer);
     this.random = Objects.requireNonNull(builder.random);
+    this.engineSelector = new EngineSelector(random);
+    this.promptCache = builder.promptCache;
     this.budgetFactory = Objects.requireNonNull(builder.budgetFactory);
     this.sessions = new SessionVersions(builder.sessionIdleTime);
     this.health = new UpstreamHealthTracker(clock, MAX_PROBE_DELAY);
     this.crashGuard = new CrashGuard(clock);
     this.regionByDomain = Map.copyOf(builder.regionByDomain);
     this.coldStarts = builder.coldStarts.orElseGet(() -> noColdStartLimit(hostName));
+    this.waiting = new WaitingRequests<>(builder.maxWaitingRequests);
+    this.reachability = Optional.ofNullable(builder.reachability);
+    this.listedHosts = builder.listedHosts;
   }
 
   private static ColdStartLimiter noColdStartLimit(String host) {
@@ -162,7 +196,9 @@
     coldStarts.retain(directory.ids());
     startById.keySet().retainAll(directory.ids());
     health.retain(directory.ids());
+    fullUpstreams.retain(directory.ids());
     for (UpstreamInstance instance : changes.added()) {
+      engineSelector.recordProcess(instance.id(), instance.startMillis());
       log.record(
           "upstream",
           "id",
@@ -286,6 +322,15 @@
     return available.getOrDefault(service, List.of());
   }
 
+  /**
+   * Returns whether so many hosts share the engines of a service that one host seldom has more than
+   * a request on an engine.
+   */
+  boolean sharesEngines(String service) {
+    return reachability.isPresent()
+        && ENGINES_PER_HOST * listedHosts.getAsInt() >= available(service).size();
+  }
+
   /** Limits the requests that are passed on from now on to those that end before the host does. */
   void startStop(StopAdmission admission) {
     stopAdmission = admission;
@@ -325,6 +370,13 @@
     return coldStarts.tryAdmit(instance.id(), clock.nanoTime());
   }
 
+  /** Lets the waiting requests start, in their order, as far as there is room. */
+  void recheckWaiting() {
+    if (waiting.size() > 0) {
+      waiting.inOrder().forEach(RequestForwarder::checkRoom);
+    }
+  }
+
   /** Returns the traffic shift of a service; empty if none was ordered. */
   public Optional<TrafficShift> shift(String service) {
     return Optional.ofNullable(shifts.get(service));
@@ -415,6 +467,10 @@
     private Duration sessionIdleTime;
     private Map<String, String> regionByDomain = Map.of();
     private Optional<ColdStartLimiter> coldStarts = Optional.empty();
+    private UpstreamReachability reachability;
+    private int maxWaitingRequests;
+    private IntSupplier listedHosts = () -> 1;
+    private boolean promptCache = true;
 
     private Builder() {}
 
@@ -482,6 +538,29 @@
       return this;
     }
 
+    /** Sets how many requests may wait for room; by default none. */
+    public Builder maxWaitingRequests(int value) {
+      maxWaitingRequests = value;
+      return this;
+    }
+
+    /**
+     * Sets the probes of silent upstreams; by default there are none.
+     *
+     * @param hosts supplies the number of hosts of the deployment
+     */
+    Builder reachability(UpstreamReachability value, IntSupplier hosts) {
+      reachability = value;
+      listedHosts = hosts;
+      return this;
+    }
+
+    /** Sets whether cached beginnings of prompts count; by default they do. */
+    public Builder promptCache(boolean value) {
+      promptCache = value;
+      return this;
+    }
+
     public Gateway build() {
       return new Gateway(this);
     }
--- a/server/src/main/java/org/clementinequay/server/gateway/GatewayAttempt.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/GatewayAttempt.java
@@ -2,10 +2,8 @@
 
 import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
-import java.util.Set;
 import org.clementinequay.core.cascade.EscalationRule;
 import org.clementinequay.core.dispatch.CorruptStreamException;
-import org.clementinequay.core.dispatch.StallRule;
 import org.clementinequay.core.forward.UpstreamInstance;
 import org.clementinequay.core.placement.EngineSelector;
 import org.clementinequay.server.upstream.UpstreamListener;
@@ -25,32 +23,19 @@
    */
   private static final int MAX_BUFFERED_BODY_BYTES = 1 << 20;
 
-  /** Number of events that a stream must exceed before its time per token is measured. */
-  private static final int TOKEN_TIME_EVENT_THRESHOLD = 4;
+  private static final double MEDIAN = 0.5;
 
   /** Confidence of a response that states none. */
   private static final int DEFAULT_CONFIDENCE = 100;
 
-  private static final int OK = 200;
-  private static final int SERVER_ERROR = 500;
-
-  /**
-   * Time after the first event from which the upstream has outlived the beginning of the answer, in
-   * nanoseconds.
-   */
-  private static final long BEGINNING_NANOS = 300_000_000L;
-
-  /**
-   * Statuses from which callers conclude that the request has not run. They are not passed on
-   * unless the upstream stated so explicitly.
-   */
-  private static final Set<Integer> NOT_RUN_STATUSES = Set.of(408, 429, 503);
-
   private final RequestForwarder forwarder;
   private final Gateway gateway;
   final UpstreamInstance instance;
   private final EngineSelector.Choice choice;
   final long startedNanos;
+  private final AnswerJudge judge;
+  private final StreamRelay relay;
+  private final SilenceStep silence;
   private final ByteArrayOutputStream bufferedBody = new ByteArrayOutputStream();
   UpstreamTransport.Call call;
   private ResponseHead head;
@@ -61,8 +46,6 @@
   /** Whether the body has a length or chunks, so that its end is not that of the connection. */
   private boolean framed;
 
-  private long firstEventNanos;
-  private long firstEventId;
   private boolean released;
 
   /** Whether the upstream may have received the request. */
@@ -72,45 +55,26 @@
   private boolean heldBack;
 
   boolean slow;
-  private long lastReceivedNanos;
-  private boolean answerBegunRecorded;
 
   GatewayAttempt(
       RequestForwarder forwarder, UpstreamInstance instance, EngineSelector.Choice choice) {
     this.forwarder = forwarder;
     this.gateway = forwarder.gateway;
     this.startedNanos = gateway.clock.nanoTime();
-    this.lastReceivedNanos = startedNanos;
     this.instance = instance;
     this.choice = choice;
+    this.judge = new AnswerJudge(forwarder.request, forwarder.route.kind());
+    this.relay = new StreamRelay(forwarder, instance.id());
+    this.silence = new SilenceStep(forwarder, instance, choice.prefillMillis(), relay);
   }
 
   /** Fails over to another upstream if this one is stalled and the budget allows a retry. */
   void checkProgress(long nowNanos) {
-    long silenceMillis = (nowNanos - lastReceivedNanos) / 1_000_000;
-    long upstreamSilenceMillis =
-        Math.min(ageMillis(), gateway.engineSelector.silenceMillis(instance.id(), nowNanos));
-    StallRule.Progress progress =
-        new StallRule.Progress(
-            firstEventNanos != 0,
-            choice.prefillMillis(),
-            gateway.engineSelector.outstanding(instance.id()) > 1,
-            silenceMillis,
-            upstreamSilenceMillis);
-    if (StallRule.isStalled(forwarder.route, progress) && forwarder.tryRetryElsewhere()) {
-      failOver("no progress for " + silenceMillis + " ms");
+    if (silence.isStalled(nowNanos) && forwarder.tryRetryElsewhere()) {
+      failOver("no progress for " + silence.millis(nowNanos) + " ms");
     }
   }
 
-  /**
-   * Records progress: the head of a response or a new complete event. Other bytes are none, because
-   * an upstream in trouble may send bytes without end that are no answer.
-   */
-  private void recordReceived() {
-    lastReceivedNanos = gateway.clock.nanoTime();
-    gateway.engineSelector.recordReceived(instance.id(), lastReceivedNanos);
-  }
-
   /** Removes the work of this attempt from the load of the engine; later calls have no effect. */
   void release() {
     if (!released) {
@@ -118,7 +82,8 @@
       if (relaying) {
         recordTokenTime();
       }
-      gateway.engineSelector.recordEnd(instance.id(), choice.workMillis());
+      gateway.engineSelector.recordEnd(choice);
+      forwarder.openCalls.add(gateway::recheckWaiting);
     }
   }
 
@@ -126,12 +91,6 @@
     return !forwarder.finished && forwarder.current == this;
   }
 
-  /** Returns whether a response is a stream of events; a stream that has begun takes only 200. */
-  private boolean isStream(ResponseHead response) {
-    return forwarder.route.kind().streaming()
-        && (forwarder.committed ? response.status() == OK : response.success());
-  }
-
   /**
    * Returns false, so that nothing is sent, if the caller or the upstream left while the request
    * waited for a connection, or if this host stops and the time left has become too short.
@@ -143,7 +102,7 @@
           if (isActive() && forwarder.response.isDisconnected()) {
             forwarder.callerDisconnected();
           }
-          if (isActive() && forwarder.mustRefuseForStop()) {
+          if (isActive() && forwarder.admission.mustRefuseForStop()) {
             forwarder.refuseForStop();
           }
           maybeSent = isActive() && forwarder.placement.admits(instance);
@@ -161,27 +120,30 @@
     if (!isActive()) {
       return;
     }
-    recordReceived();
+    silence.recordReceived();
     ResponseHead response = gateway.protocol.decodeResponse(status, headers);
-    if (!isValid(response)) {
+    if (!judge.isOwn(response)) {
       abandonAndFail("response to another request, or without authentication code");
       return;
     }
-    if (response.success() && headers.contains(HttpHeader.CONTENT_ENCODING)) {
+    if (AnswerJudge.isEncoded(response, headers)) {
       abandonAndFail("encoded response, which no caller requests");
       return;
     }
     head = response;
-    relaying = isStream(response);
+    relaying = judge.isStream(response, forwarder.committed);
     framed =
         headers.contains(HttpHeader.CONTENT_LENGTH)
             || headers.contains(HttpHeader.TRANSFER_ENCODING);
-    if (isUnidentifiedRefusal()) {
-      forwarder.mayHaveRun = true;
+    if (judge.isUnidentifiedRefusal(head)) {
+      forwarder.history.recordMayHaveRun();
       forwarder.abortCall(this, "refusal without the id of the request");
       attemptRejected();
       return;
     }
+    if (head.success()) {
+      gateway.fullUpstreams.recordRoom(instance.id());
+    }
     if (relaying && !forwarder.committed && forwarder.placement.hasLargerModel()) {
       escalate();
     }
@@ -194,7 +156,9 @@
   private void escalate() {
     int confidence = head.confidence().orElse(DEFAULT_CONFIDENCE);
     double required = requiredConfidence();
-    if (confidence >= required || !forwarder.tryRetry(AttemptEnd.NOT_RUN)) {
+    if (confidence >= required
+        || !canCompleteWithLargestModel()
+        || !forwarder.tryRetry(AttemptEnd.NOT_RUN)) {
       return;
     }
     forwarder.log(
@@ -206,39 +170,30 @@
         "model",
         forwarder.placement.model().orElse(""));
     forwarder.placement.useLargestModel();
-    forwarder.mayHaveRun = true;
-    forwarder.triedIds.clear();
+    forwarder.history.recordMayHaveRun();
+    forwarder.history.forgetTried();
     forwarder.abandonCurrent("a larger model is asked");
     forwarder.startAttempt();
   }
 
   /**
-   * Returns whether a response belongs to this request: a success must repeat the id of the request
-   * and have the upstream's authentication code.
-   */
-  private boolean isValid(ResponseHead response) {
-    if (response.requestId().isEmpty()) {
-      return !response.success();
-    }
-    return response.requestId().equals(forwarder.request.id())
-        && (response.sealed() || !response.success());
-  }
-
-  /**
-   * Returns whether a refusal on a connection that had other requests before lacks the id of the
-   * request. A faulty upstream may have repeated an earlier refusal there, and run this request.
+   * Returns whether the answer of the largest model would be complete by the deadline, by what this
+   * host saw in the last seconds. Otherwise the answer at hand is better than none.
    */
-  private boolean isUnidentifiedRefusal() {
-    return (head.misdirected() || head.notRun())
-        && head.requestId().isEmpty()
-        && forwarder.route.kind().retryable();
+  private boolean canCompleteWithLargestModel() {
+    long now = gateway.clock.nanoTime();
+    String kind = forwarder.service + '/' + forwarder.placement.largestModel();
+    double firstEventMillis = gateway.firstEventTimes.quantile(forwarder.service, MEDIAN, now);
+    double restMillis =
+        forwarder.request.outputTokens() * gateway.tokenTimes.quantile(kind, MEDIAN, now);
+    return firstEventMillis + restMillis <= forwarder.times.remainingMillis();
   }
 
   private double requiredConfidence() {
     return EscalationRule.confidenceThreshold(
         new EscalationRule.Progress(
             forwarder.route.latencyObjectiveMillis(),
-            forwarder.elapsedMillis(),
+            forwarder.times.elapsedMillis(),
             ageMillis() - choice.prefillMillis(),
             forwarder.placement.largestModelPromptMillis()));
   }
@@ -247,12 +202,19 @@
   private void failOver(String reason) {
     forwarder.current = null;
     release();
-    forwarder.mayHaveRun = true;
-    boolean ejected =
-        forwarder.route.kind().streaming() && gateway.health.recordUnreachable(instance.id());
+    forwarder.history.recordMayHaveRun();
+    boolean ejected = false;
+    if (silence.isBusy()) {
+      gateway.health.recordAbandoned(instance.id());
+    } else if (forwarder.route.kind().streaming()) {
+      ejected = gateway.health.recordUnreachable(instance.id());
+    }
+    if (!relay.begun()) {
+      gateway.firstEventTimes.record(forwarder.service, ageMillis(), gateway.clock.nanoTime());
+    }
     forwarder.abortCall(this, reason);
     forwarder.placement.recordFailure(instance);
-    forwarder.recordSilent(instance);
+    forwarder.history.recordSilent(instance.id());
     gateway.recordStalled(new StalledAttempt(instance, forwarder.route.name()));
     forwarder.log(
         "stalled",
@@ -260,6 +222,8 @@
         instance.id(),
         "reason",
         reason,
+        "evidence",
+        silence.evidenceLabel(),
         "ejected",
         ejected,
         "age_ms",
@@ -294,18 +258,14 @@
       return;
     }
     try {
-      byte[] completeEvents = forwarder.events.feed(bytes);
-      if (completeEvents.length == 0) {
-        forwarder.openCalls.add(next::succeeded);
-        return;
-      }
-      recordReceived();
-      relay(completeEvents, next);
-      if (isAnswerBegun()) {
-        recordAnswerBegun();
+      boolean begun = relay.begun();
+      if (relay.relay(head, bytes, next)) {
+        if (!begun) {
+          gateway.firstEventTimes.record(forwarder.service, ageMillis(), gateway.clock.nanoTime());
+        }
+        silence.recordReceived();
       }
     } catch (CorruptStreamException e) {
-      forwarder.openCalls.add(next::succeeded);
       abandonAndFail(e.getMessage());
     }
   }
@@ -321,51 +281,6 @@
     bufferedBody.writeBytes(part);
   }
 
-  /** Returns whether the upstream has outlived the beginning of the answer. */
-  private boolean isAnswerBegun() {
-    return firstEventNanos != 0 && gateway.clock.nanoTime() - firstEventNanos >= BEGINNING_NANOS;
-  }
-
-  private void recordAnswerBegun() {
-    if (!answerBegunRecorded) {
-      answerBegunRecorded = true;
-      gateway.crashGuard.answerBegun(forwarder.service, forwarder.sharedPartIds);
-    }
-  }
-
-  private void relay(byte[] completeEvents, Callback next) {
-    if (firstEventNanos == 0) {
-      firstEventNanos = gateway.clock.nanoTime();
-      firstEventId = forwarder.events.lastId();
-    }
-    if (!forwarder.committed) {
-      forwarder.committed = true;
-      forwarder.firstEventNanos = firstEventNanos;
-      forwarder.log(
-          "first_event",
-          "upstream",
-          instance.id(),
-          "model",
-          forwarder.placement.model().orElse(""),
-          "confidence",
-          head.confidence().orElse(-1),
-          "ms",
-          forwarder.elapsedMillis());
-      ResponseHead first = head;
-      forwarder.openCalls.addInOrder(
-          () -> forwarder.response.sendHead(first.status(), first.returned()));
-    }
-    Callback sent =
-        Callback.from(
-            next::succeeded,
-            failure -> {
-              next.succeeded();
-              forwarder.callerDisconnected();
-            });
-    forwarder.openCalls.addInOrder(
-        () -> forwarder.response.sendPart(ByteBuffer.wrap(completeEvents), sent));
-  }
-
   @Override
   public void ended() {
     forwarder.update(() -> handleEnd());
@@ -389,7 +304,7 @@
       attemptFailed("the stream ended inside an event", true);
       return;
     }
-    if (firstEventId == 0 && !statesThatNothingIsLeft()) {
+    if (!relay.begun() && !statesThatNothingIsLeft()) {
       attemptFailed("the stream ended before its first event", true);
       return;
     }
@@ -402,7 +317,7 @@
         "events",
         forwarder.events.lastId(),
         "ms",
-        forwarder.elapsedMillis());
+        forwarder.times.elapsedMillis());
     if (forwarder.committed) {
       forwarder.openCalls.addInOrder(forwarder.response::end);
     } else {
@@ -415,32 +330,32 @@
    * that ends with its connection does not: an upstream that stops behind the head looks the same.
    */
   private boolean statesThatNothingIsLeft() {
-    return framed && head.status() == OK && forwarder.events.lastId() > 0;
+    return framed && head.status() == AnswerJudge.OK && forwarder.events.lastId() > 0;
   }
 
   private void responseEnded() {
-    if (head.misdirected() || head.notRun()) {
-      attemptRejected();
-    } else if (forwarder.committed
-        || head.status() >= SERVER_ERROR
-        || NOT_RUN_STATUSES.contains(head.status())) {
-      // Once a stream has begun, the caller can take no response but its rest.
-      upstreamFailed();
-    } else {
-      attemptSucceeded();
-      forwarder.finishComplete(head);
-      forwarder.log(
-          "done",
-          "upstream",
-          instance.id(),
-          "status",
-          head.status(),
-          "ms",
-          forwarder.elapsedMillis());
-      forwarder.sendComplete(head.status(), head.returned(), bufferedBody.toByteArray());
+    switch (judge.judge(head, forwarder.committed)) {
+      case REJECTED -> attemptRejected();
+      case FAILED -> upstreamFailed();
+      case ANSWER -> responseComplete();
+      default -> throw new IllegalStateException("unknown verdict");
     }
   }
 
+  private void responseComplete() {
+    attemptSucceeded();
+    forwarder.finishComplete(head);
+    forwarder.log(
+        "done",
+        "upstream",
+        instance.id(),
+        "status",
+        head.status(),
+        "ms",
+        forwarder.times.elapsedMillis());
+    forwarder.sendComplete(head.status(), head.returned(), bufferedBody.toByteArray());
+  }
+
   private void attemptRejected() {
     forwarder.current = null;
     release();
@@ -449,18 +364,20 @@
       // Another process has the address now. The listed instance has ended and received nothing, so
       // this does not count as an attempt.
       gateway.health.recordUnreachable(instance.id());
-      forwarder.attempts--;
+      forwarder.history.recordNotSent();
     } else {
       gateway.health.recordAbandoned(instance.id());
-      forwarder.recordRejected();
+      forwarder.history.recordRejected(instance.id());
+      gateway.fullUpstreams.recordFull(
+          instance.id(), gateway.random.nextDouble(), gateway.clock.nanoTime());
     }
-    forwarder.retryOrFail(AttemptEnd.NOT_RUN, "the upstreams are full");
+    forwarder.waiting.retryAfterRejection();
   }
 
   private void upstreamFailed() {
     forwarder.current = null;
     release();
-    forwarder.mayHaveRun = true;
+    forwarder.history.recordMayHaveRun();
     gateway.health.recordSuccess(instance.id());
     recordOutcome(true);
     forwarder.placement.recordFailure(instance);
@@ -470,14 +387,14 @@
       return;
     }
     if (forwarder.committed) {
-      forwarder.fail(RequestForwarder.BAD_GATEWAY, "the upstream failed");
+      forwarder.fail(ErrorResponses.BAD_GATEWAY, "the upstream failed");
       return;
     }
     forwarder.finish(head.status(), "upstream failed");
-    if (NOT_RUN_STATUSES.contains(head.status())) {
+    if (AnswerJudge.promisesNotRun(head.status())) {
       forwarder.sendComplete(
-          RequestForwarder.BAD_GATEWAY,
-          ErrorResponses.headers(RequestForwarder.BAD_GATEWAY, 0),
+          ErrorResponses.BAD_GATEWAY,
+          ErrorResponses.headers(ErrorResponses.BAD_GATEWAY, 0),
           ErrorResponses.body("the upstream failed"));
     } else {
       forwarder.sendComplete(head.status(), head.returned(), bufferedBody.toByteArray());
@@ -487,12 +404,13 @@
   private void attemptSucceeded() {
     forwarder.current = null;
     release();
-    forwarder.mayHaveRun = true;
+    forwarder.history.recordMayHaveRun();
     forwarder.recordSessionVersion(instance);
     gateway.health.recordSuccess(instance.id());
     recordOutcome(false);
-    if (firstEventNanos != 0) {
-      recordAnswerBegun();
+    if (relay.begun()) {
+      relay.recordBeginning();
+      forwarder.placement.recordOutput(forwarder.events.lastId());
     }
   }
 
@@ -501,17 +419,15 @@
    * broke off.
    */
   private void recordTokenTime() {
-    long generated = forwarder.events.lastId() - firstEventId;
-    long nanos = gateway.clock.nanoTime() - firstEventNanos;
-    if (firstEventNanos == 0 || generated <= TOKEN_TIME_EVENT_THRESHOLD) {
+    double tokenMillis = relay.tokenMillis();
+    if (Double.isNaN(tokenMillis)) {
       return;
     }
-    double tokenMillis =
-        nanos
-            / 1e6
-            / (generated * forwarder.placement.tokensPerEvent())
-            / forwarder.placement.weight();
     gateway.engineSelector.recordTokenTime(instance.id(), tokenMillis);
+    gateway.tokenTimes.record(
+        forwarder.service + '/' + forwarder.placement.model().orElse(""),
+        tokenMillis * forwarder.placement.weight(),
+        gateway.clock.nanoTime());
     slow = gateway.slowAnswers.observe(forwarder.service, tokenMillis, !isTargetVersion());
   }
 
@@ -562,9 +478,10 @@
   private void attemptFailed(String reason, boolean offered) {
     forwarder.current = null;
     release();
-    forwarder.mayHaveRun |= offered;
-    if (!offered) {
-      forwarder.attempts--;
+    if (offered) {
+      forwarder.history.recordMayHaveRun();
+    } else {
+      forwarder.history.recordNotSent();
     }
     boolean ejected = recordInHealth(offered);
     if (offered) {
@@ -585,10 +502,10 @@
         "answer_begun",
         head != null,
         "first_event_received",
-        firstEventNanos != 0,
+        relay.begun(),
         "prompt",
         forwarder.sharedPartIds);
-    if (offered && !isAnswerBegun()) {
+    if (offered && !relay.hasOutlivedBeginning()) {
       gateway.crashGuard.attemptBroken(instance, startedNanos, forwarder.sharedPartIds);
     }
     forwarder.events.discardPartialEvent();
--- a/server/src/main/java/org/clementinequay/server/gateway/GatewayHost.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/GatewayHost.java
@@ -16,6 +16,8 @@
 import org.clementinequay.core.coldstart.ColdStartLimiter;
 import org.clementinequay.core.dispatch.RetryShare;
 import org.clementinequay.core.dispatch.RetryWindow;
+import org.clementinequay.core.ingress.IngressBudget;
+import org.clementinequay.core.ingress.IngressLimits;
 import org.clementinequay.core.platform.HostEntry;
 import org.clementinequay.core.spread.ReadSchedule;
 import org.clementinequay.core.spread.StoreClock;
@@ -29,6 +31,8 @@
 import org.clementinequay.server.peer.TcpPeerNetwork;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.server.Server;
+import org.eclipse.jetty.util.thread.ScheduledExecutorScheduler;
+import org.eclipse.jetty.util.thread.Scheduler;
 
 /** Entry host that forwards requests by route: creates, starts and gracefully stops its parts. */
 public final class GatewayHost implements AutoCloseable {
@@ -90,6 +94,8 @@
     this.settings = settings;
     this.clock = clock;
     this.log = log;
+    UpstreamReachability reachability = new UpstreamReachability(clock, new ConnectProbe());
+    shareThreads(client, singleUseClient);
     this.gateway =
         Gateway.builder()
             .host(settings.name(), settings.domain())
@@ -102,40 +108,33 @@
             .sessionIdleTime(seconds(settings.sessionSeconds()))
             .regions(settings.regions())
             .coldStarts(newColdStartLimiter(settings))
+            .maxWaitingRequests(settings.waitingRequests())
+            .reachability(reachability, this::listedHosts)
+            .promptCache(settings.promptCache())
             .build();
     this.handler = new GatewayHandler(gateway);
     this.readinessHandler = new ReadinessHandler(gateway, metrics::scrape);
-    this.server = JettyFactory.newServer("callers", settings.callers(), handler, true);
+    IngressLimits callerLimits = CallerLimitSettings.callers(settings);
+    IngressBudget callers = new IngressBudget(callerLimits);
+    IngressBudget checks = new IngressBudget(CallerLimitSettings.ready(callerLimits));
+    this.server = JettyFactory.newServer("callers", settings.callers(), handler, callers);
     this.connector = (CallerConnector) server.getConnectors()[0];
-    this.readyServer = JettyFactory.newServer("ready", settings.ready(), readinessHandler, false);
+    this.readyServer = JettyFactory.newServer("ready", settings.ready(), readinessHandler, checks);
     if (settings.metrics() > 0) {
       String host = HostAndPort.fromString(settings.ready()).getHost();
-      JettyFactory.addListener(readyServer, host, settings.metrics());
+      JettyFactory.addListener(readyServer, host, settings.metrics(), checks);
     }
     metrics.registerGauge("clementinequay_open_requests", handler::openRequests);
     metrics.registerGauge("clementinequay_log_dropped", log::dropped);
-    metrics.registerGauge(
-        "clementinequay_configuration_version",
-        () -> gateway.configuration().map(c -> (double) c.version()).orElse(0.0));
-    metrics.registerGauge(
-        "clementinequay_upstream_list_age_seconds", () -> gateway.instanceListAgeNanos() / 1e9);
-    metrics.registerGauge(
-        "clementinequay_cold_upstreams", () -> gateway.coldStarts.coldUpstreams(clock.nanoTime()));
-    metrics.registerGauge(
-        "clementinequay_cold_start_slots", () -> gateway.coldStarts.shares(clock.nanoTime()));
-    metrics.registerGauge(
-        "clementinequay_cold_start_held_back", () -> gateway.coldStarts.heldBack());
-    metrics.registerGauge(
-        "clementinequay_evacuated_domains", () -> gateway.evacuated.names().size());
-    metrics.registerGauge(
-        "clementinequay_longest_evacuation_seconds",
-        () -> gateway.evacuated.longestMillis(clock.nanoTime()) / 1e3);
-    metrics.registerGauge(
-        "clementinequay_quarantined_prompt_parts",
-        () -> gateway.crashGuard.quarantinedParts().size());
+    GatewayGauges.registerState(metrics, gateway);
+    IngressTask ingress = new IngressTask(gateway, List.of(callers, checks));
+    addTask("ingress", ingress::step);
+    GatewayGauges.registerCallers(metrics, callers, ingress);
     PeerIdentity identity = newIdentity(settings);
     this.peers = newPeerNetwork(identity, registry);
     addStoreTasks(platform, new StoreReaderRole(identity, peers, clock, log));
+    addTask("reachability", reachability::step);
+    addEngineLoadTask();
     addTask("watch", new RequestWatchdog(gateway)::step);
     HostEntry self =
         new HostEntry(settings.name(), "entry", settings.domain(), settings.peers(), false);
@@ -143,6 +142,28 @@
     addTask("registration", new HostRegistrationTask(registry, self, log)::step);
   }
 
+  private void addEngineLoadTask() {
+    EngineLoadTask engineLoad =
+        new EngineLoadTask(
+            gateway, peers::broadcast, peers::listedHosts, settings.engineLoadHosts().intValue());
+    peers.addListener(engineLoad);
+    addTask("engine-load", engineLoad::step);
+  }
+
+  private int listedHosts() {
+    return peers.listedHosts();
+  }
+
+  /**
+   * Lets the HTTP clients use one pool of threads and one timer; the first to start starts them.
+   */
+  private static void shareThreads(HttpClient first, HttpClient second) {
+    second.setExecutor(first.getExecutor());
+    Scheduler timer = new ScheduledExecutorScheduler("clients-timer", true);
+    first.setScheduler(timer);
+    second.setScheduler(timer);
+  }
+
   /** Returns a window with this host's part of the retries that the deployment allows a service. */
   private RetryWindow newRetryBudget() {
     return new RetryWindow(
@@ -204,8 +225,7 @@
     UpstreamProbe probe = new ConnectProbe();
     CrashGuardTask crashes = new CrashGuardTask(gateway, peers::broadcast, probe);
     peers.addListener(crashes);
-    addTask("crashes", crashes::step);
-    addTask("stalled", new StalledAttemptTask(gateway, probe)::step);
+    addTask("probes", crashes::step, new StalledAttemptTask(gateway, probe)::step);
     addTask("quarantine", new QuarantineStoreTask(gateway, platform, role)::step);
     addTask("rollouts", new ShiftStateTask(gateway, platform, gossip, role)::step);
   }
@@ -230,7 +250,9 @@
         .build();
   }
 
-  private void addTask(String name, PeriodicTask.Step step) {
+  /** Adds a thread that repeats one step, or several of which none may wait long. */
+  private void addTask(String name, PeriodicTask.Step... steps) {
+    PeriodicTask.Step step = steps.length == 1 ? steps[0] : new StepGroup(clock, steps);
     tasks.add(new PeriodicTask(name, clock, step));
   }
 
--- a/server/src/main/java/org/clementinequay/server/gateway/JettyFactory.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/JettyFactory.java
@@ -1,6 +1,7 @@
 package org.clementinequay.server.gateway;
 
 import com.google.common.net.HostAndPort;
+import org.clementinequay.core.ingress.IngressBudget;
 import org.clementinequay.server.upstream.BoundedHttpTransport;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.http.HttpCompliance;
@@ -23,8 +24,18 @@
   private static final int ADDED_HEADER_BYTES = 4 * 1024;
 
   private static final int MAX_RESPONSE_HEAD_BYTES = 16 * 1024;
-  private static final int SERVER_THREADS = 12;
-  private static final int CLIENT_THREADS = 10;
+  private static final int SERVER_THREADS = 8;
+  private static final int CLIENT_THREADS = 8;
+
+  /** Threads that a pool keeps; it adds more as they are needed. */
+  private static final int KEPT_THREADS = 1;
+
+  /** Threads of a pool that wait to take over a selector: none, on a fraction of a core. */
+  private static final int RESERVED_THREADS = 0;
+
+  /** Time after which a pool ends a thread that it does not need, in milliseconds. */
+  private static final int THREAD_IDLE_MILLIS = 2000;
+
   private static final int ACCEPT_QUEUE = 512;
 
   /** Idle timeout of caller connections in milliseconds; twice what the deployments configure. */
@@ -47,12 +58,13 @@
   /**
    * Returns a server with one listener that has not been started.
    *
-   * @param detectClose whether to use {@link CallerConnector}, which detects that a caller closes
-   *     its connection during a request
+   * @param budget what the listener may hold for its callers
    */
-  static Server newServer(String name, String address, Handler handler, boolean detectClose) {
-    QueuedThreadPool threads = new QueuedThreadPool(SERVER_THREADS, 3);
+  static Server newServer(String name, String address, Handler handler, IngressBudget budget) {
+    QueuedThreadPool threads = new QueuedThreadPool(SERVER_THREADS, KEPT_THREADS);
     threads.setName(name);
+    threads.setReservedThreads(RESERVED_THREADS);
+    threads.setIdleTimeout(THREAD_IDLE_MILLIS);
     Server server = new Server(threads);
     HttpConfiguration http = new HttpConfiguration();
     http.setSendServerVersion(false);
@@ -62,10 +74,7 @@
     http.setUriCompliance(UriCompliance.UNSAFE);
     http.setHttpCompliance(HttpCompliance.RFC7230);
     HttpConnectionFactory factory = new HttpConnectionFactory(http);
-    ServerConnector connector =
-        detectClose
-            ? new CallerConnector(server, factory)
-            : new ServerConnector(server, null, null, null, 1, 1, factory);
+    ServerConnector connector = new CallerConnector(server, factory, budget);
     HostAndPort hostAndPort = HostAndPort.fromString(address);
     connector.setHost(hostAndPort.getHost());
     connector.setPort(hostAndPort.getPort());
@@ -77,10 +86,9 @@
     return server;
   }
 
-  /** Adds a listener that does not detect closed connections during requests. */
-  static void addListener(Server server, String host, int port) {
-    ServerConnector connector =
-        new ServerConnector(server, null, null, null, 1, 1, new HttpConnectionFactory());
+  /** Adds a listener whose callers share a budget with those of the others. */
+  static void addListener(Server server, String host, int port, IngressBudget budget) {
+    ServerConnector connector = new CallerConnector(server, new HttpConnectionFactory(), budget);
     connector.setHost(host);
     connector.setPort(port);
     connector.setIdleTimeout(CALLER_IDLE_MILLIS);
@@ -90,8 +98,10 @@
   static HttpClient newClient(String name) {
     ClientConnector connector = new ResetAwareConnector();
     connector.setSelectors(1);
-    QueuedThreadPool threads = new QueuedThreadPool(CLIENT_THREADS, 3);
+    QueuedThreadPool threads = new QueuedThreadPool(CLIENT_THREADS, KEPT_THREADS);
     threads.setName(name);
+    threads.setReservedThreads(RESERVED_THREADS);
+    threads.setIdleTimeout(THREAD_IDLE_MILLIS);
     connector.setExecutor(threads);
     HttpClient client = new ForwardingClient(new BoundedHttpTransport(connector));
     client.setConnectTimeout(CONNECT_MILLIS);
--- a/server/src/test/java/org/clementinequay/server/gateway/GatewayFixture.java
+++ b/server/src/test/java/org/clementinequay/server/gateway/GatewayFixture.java
@@ -41,6 +41,7 @@
   final RecordedResponse response = new RecordedResponse();
   private final List<RequestForwarder> forwarders = new ArrayList<>();
   final Gateway gateway;
+  final UpstreamReachability reachability;
   List<PromptPart> promptParts = List.of();
   Set<String> allowedRegions = Set.of();
   long deadlineMillis = 5000;
@@ -53,13 +54,30 @@
 
   /** Creates a gateway; without a sender, attempts are recorded in {@link #sent}. */
   GatewayFixture(UpstreamSender sender) {
-    this(sender, builder -> builder);
+    this(sender, null, builder -> builder);
   }
 
-  GatewayFixture(UpstreamSender sender, UnaryOperator<Gateway.Builder> options) {
+  /** Creates a gateway in which some requests may wait for room. */
+  GatewayFixture(int maxWaitingRequests) {
+    this(null, null, builder -> builder.maxWaitingRequests(maxWaitingRequests));
+  }
+
+  /** Creates a gateway; with a probe, many hosts share the engines. */
+  GatewayFixture(UpstreamSender sender, UpstreamProbe probe) {
+    this(sender, probe, builder -> builder);
+  }
+
+  static GatewayFixture with(UnaryOperator<Gateway.Builder> options) {
+    return new GatewayFixture(null, null, options);
+  }
+
+  private GatewayFixture(
+      UpstreamSender sender, UpstreamProbe probe, UnaryOperator<Gateway.Builder> options) {
+    reachability = probe == null ? null : new UpstreamReachability(clock, probe);
     gateway =
         options
             .apply(Gateway.builder())
+            .reachability(reachability, () -> 100)
             .host("h1", "d")
             .clock(clock)
             .protocol(new Protocol())
@@ -157,6 +175,10 @@
     return forwarder;
   }
 
+  RequestForwarder forwarder() {
+    return forwarders.get(0);
+  }
+
   /** Fails if the current thread holds the lock of a forwarder. */
   private void checkOpenCall() {
     for (RequestForwarder forwarder : forwarders) {
@@ -179,6 +201,7 @@
     final HttpFields headers;
     private final UpstreamListener listener;
     boolean abandoned;
+    boolean answered;
 
     private SentAttempt(HttpFields headers, UpstreamListener listener) {
       this.headers = headers;
@@ -190,6 +213,7 @@
     }
 
     void respond(int status, HttpFields fields, String body) {
+      answered = true;
       listener.headers(status, fields);
       sendContent(body);
       listener.ended();
