--- a/core/src/main/java/org/clementinequay/core/admission/RecentTimes.java
+++ b/core/src/main/java/org/clementinequay/core/admission/FirstEventTimes.java
@@ -5,13 +5,14 @@
 import java.util.Map;
 
 /**
- * Times of a kind, such as those to the first event at a service, as this host saw them in the last
- * seconds. Load: the queues of all engines grow; a host that adds up only its own requests does not
- * see them, but its last answers show them. Attempts that were given up count with the time that
- * they had waited, so that the estimate does not follow the lucky ones alone. Thread-safe.
+ * Times from the start of an attempt to its first event, by service, as this host saw them in the
+ * last seconds. Load: the queues of all engines grow; a host that adds up only its own requests
+ * does not see them, but its last answers show them. Attempts that were given up count with the
+ * time that they had waited, so that the estimate does not follow the lucky ones alone.
+ * Thread-safe.
  */
-public final class RecentTimes {
-  /** Number of times that are kept for each kind. */
+public final class FirstEventTimes {
+  /** Number of times that are kept for each service. */
   private static final int SAMPLES = 64;
 
   /** Number of times below which nothing is known. */
@@ -20,8 +21,8 @@
   /** Age from which a time says nothing about the load any more, in nanoseconds. */
   private static final long MAX_AGE_NANOS = 5_000_000_000L;
 
-  /** Number of kinds that are kept; the one that was recorded least recently yields. */
-  private static final int MAX_KINDS = 64;
+  /** Number of services that are kept; the one that was recorded least recently yields. */
+  private static final int MAX_SERVICES = 64;
 
   private final Map<String, Window> windows =
       new LinkedHashMap<>(16, 0.75f, true) {
@@ -29,13 +30,13 @@
 
         @Override
         protected boolean removeEldestEntry(Map.Entry<String, Window> eldest) {
-          return size() > MAX_KINDS;
+          return size() > MAX_SERVICES;
         }
       };
 
   /** Records a time in milliseconds. */
-  public synchronized void record(String kind, double millis, long nowNanos) {
-    windows.computeIfAbsent(kind, k -> new Window()).add(millis, nowNanos);
+  public synchronized void record(String service, long millis, long nowNanos) {
+    windows.computeIfAbsent(service, s -> new Window()).add(millis, nowNanos);
   }
 
   /**
@@ -43,18 +44,18 @@
    *
    * @param share share of the attempts that needed at most this time
    */
-  public synchronized double quantile(String kind, double share, long nowNanos) {
-    Window window = windows.get(kind);
+  public synchronized double quantile(String service, double share, long nowNanos) {
+    Window window = windows.get(service);
     return window == null ? 0 : window.quantile(share, nowNanos);
   }
 
   private static final class Window {
-    private final double[] millis = new double[SAMPLES];
+    private final long[] millis = new long[SAMPLES];
     private final long[] nanos = new long[SAMPLES];
     private int count;
     private int next;
 
-    private void add(double value, long nowNanos) {
+    private void add(long value, long nowNanos) {
       millis[next] = value;
       nanos[next] = nowNanos;
       next = (next + 1) % SAMPLES;
@@ -62,7 +63,7 @@
     }
 
     private double quantile(double share, long nowNanos) {
-      double[] recent = new double[count];
+      long[] recent = new long[count];
       int size = 0;
       for (int i = 0; i < count; i++) {
         if (nowNanos - nanos[i] <= MAX_AGE_NANOS) {
--- a/core/src/main/java/org/clementinequay/core/dispatch/SilenceRule.java
+++ b/core/src/main/java/org/clementinequay/core/dispatch/SilenceRule.java
@@ -16,10 +16,9 @@
   /** Multiple of the usual time to the first event after which a busy engine is given up. */
   static final double USUAL_FACTOR = 3;
 
-  /** Multiple of the first-event objective where the usual time is unknown. */
-  static final double DEFAULT_OBJECTIVES = 0.8;
+  /** Bounds on the patience with a busy engine, as multiples of the first-event objective. */
+  static final double MIN_OBJECTIVES = 0.8;
 
-  /** Multiple of the first-event objective after which any engine is given up. */
   static final double MAX_OBJECTIVES = 2;
 
   /** Multiple of the gap objective after which a begun stream leaves a busy engine. */
@@ -74,8 +73,8 @@
       return GAP_OBJECTIVES * route.eventGapObjectiveMillis();
     }
     double objective = route.latencyObjectiveMillis();
-    return silence.usualFirstEventMillis() > 0
-        ? Math.min(MAX_OBJECTIVES * objective, USUAL_FACTOR * silence.usualFirstEventMillis())
-        : DEFAULT_OBJECTIVES * objective;
+    return Math.min(
+        MAX_OBJECTIVES * objective,
+        Math.max(MIN_OBJECTIVES * objective, USUAL_FACTOR * silence.usualFirstEventMillis()));
   }
 }
--- a/core/src/test/java/org/clementinequay/core/admission/AdmissionTest.java
+++ b/core/src/test/java/org/clementinequay/core/admission/AdmissionTest.java
@@ -125,7 +125,7 @@
   public static class Times {
     @Test
     public void quantilesFollowTheLoad() {
-      RecentTimes times = new RecentTimes();
+      FirstEventTimes times = new FirstEventTimes();
       for (int i = 1; i <= 10; i++) {
         times.record("s", 100 * i, i * MILLI);
       }
--- a/server/src/main/java/org/clementinequay/server/gateway/AttemptPlacement.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/AttemptPlacement.java
@@ -52,11 +52,6 @@
     modelIndex = route.modelsBySize().size() - 1;
   }
 
-  /** Returns the largest model of the route, which must have models. */
-  String largestModel() {
-    return route.modelsBySize().get(route.modelsBySize().size() - 1);
-  }
-
   /** Returns the engine time of the model relative to the reference model. */
   double weight() {
     return weight(model().orElse(""));
--- a/server/src/main/java/org/clementinequay/server/gateway/Gateway.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/Gateway.java
@@ -14,8 +14,8 @@
 import java.util.function.IntSupplier;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
+import org.clementinequay.core.admission.FirstEventTimes;
 import org.clementinequay.core.admission.FullUpstreams;
-import org.clementinequay.core.admission.RecentTimes;
 import org.clementinequay.core.admission.WaitingRequests;
 import org.clementinequay.core.dispatch.RetryWindow;
 import org.clementinequay.core.dispatch.UpstreamHealthTracker;
@@ -68,11 +68,7 @@
   /** Times from the start of the first attempt to the end of a successful answer, by route. */
   final RecentDurations durations = new RecentDurations();
 
-  /** Times from the start of an attempt to its first event, by service. */
-  final RecentTimes firstEventTimes = new RecentTimes();
-
-  /** Times for each token of a stream, by service and model. */
-  final RecentTimes tokenTimes = new RecentTimes();
+  final FirstEventTimes firstEventTimes = new FirstEventTimes();
 
   final FullUpstreams fullUpstreams = new FullUpstreams();
 
--- a/server/src/main/java/org/clementinequay/server/gateway/GatewayAttempt.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/GatewayAttempt.java
@@ -23,8 +23,6 @@
    */
   private static final int MAX_BUFFERED_BODY_BYTES = 1 << 20;
 
-  private static final double MEDIAN = 0.5;
-
   /** Confidence of a response that states none. */
   private static final int DEFAULT_CONFIDENCE = 100;
 
@@ -152,9 +150,7 @@
   private void escalate() {
     int confidence = head.confidence().orElse(DEFAULT_CONFIDENCE);
     double required = requiredConfidence();
-    if (confidence >= required
-        || !canCompleteWithLargestModel()
-        || !forwarder.tryRetry(AttemptEnd.NOT_RUN)) {
+    if (confidence >= required || !forwarder.tryRetry(AttemptEnd.NOT_RUN)) {
       return;
     }
     forwarder.log(
@@ -172,19 +168,6 @@
     forwarder.startAttempt();
   }
 
-  /**
-   * Returns whether the answer of the largest model would be complete by the deadline, by what this
-   * host saw in the last seconds. Otherwise the answer at hand is better than none.
-   */
-  private boolean canCompleteWithLargestModel() {
-    long now = gateway.clock.nanoTime();
-    String kind = forwarder.service + '/' + forwarder.placement.largestModel();
-    double firstEventMillis = gateway.firstEventTimes.quantile(forwarder.service, MEDIAN, now);
-    double restMillis =
-        forwarder.request.outputTokens() * gateway.tokenTimes.quantile(kind, MEDIAN, now);
-    return firstEventMillis + restMillis <= forwarder.times.remainingMillis();
-  }
-
   private double requiredConfidence() {
     return EscalationRule.confidenceThreshold(
         new EscalationRule.Progress(
@@ -419,10 +402,6 @@
       return;
     }
     gateway.engineSelector.recordTokenTime(instance.id(), tokenMillis);
-    gateway.tokenTimes.record(
-        forwarder.service + '/' + forwarder.placement.model().orElse(""),
-        tokenMillis * forwarder.placement.weight(),
-        gateway.clock.nanoTime());
     slow = gateway.slowAnswers.observe(forwarder.service, tokenMillis, !isTargetVersion());
   }
 
