Leave busy engines while another one still answers in time

Cause: where hosts share engines, a busy engine was left only after 0.8 to 2 objectives, also where the usual time to the first event is a fraction of the objective. Change: an attempt moves at the last moment from which another engine usually answers within the objective, but not before 1.2 times the usual time; else as before.

--- a/core/src/main/java/org/clementinequay/core/dispatch/SilenceRule.java
+++ b/core/src/main/java/org/clementinequay/core/dispatch/SilenceRule.java
@@ -9,10 +9,17 @@
  * the queues of all engines grow at once. The silence of one request then says nothing about its
  * engine. A request that moves is queued and read again elsewhere, which slows down all others, so
  * that more of them move: a metastable failure (Bronson et al., HotOS 2021). An engine that accepts
- * connections is busy, and its request moves only if the others would answer much sooner, as a
- * hedged request waits for a high percentile (Dean and Barroso, The Tail at Scale, 2013).
+ * connections is busy, and its request moves only if another one usually answers within the
+ * objective, or much sooner, as a hedged request waits for a high percentile (Dean and Barroso, The
+ * Tail at Scale, 2013).
  */
 public final class SilenceRule {
+  /**
+   * Multiple of the usual time before which no busy engine is given up, although another one would
+   * answer in time; fewer than one in ten attempts takes longer.
+   */
+  static final double LEAST_USUAL_FACTOR = 1.2;
+
   /** Multiple of the usual time to the first event after which a busy engine is given up. */
   static final double USUAL_FACTOR = 3;
 
@@ -73,8 +80,12 @@
       return GAP_OBJECTIVES * route.eventGapObjectiveMillis();
     }
     double objective = route.latencyObjectiveMillis();
-    return Math.min(
-        MAX_OBJECTIVES * objective,
-        Math.max(MIN_OBJECTIVES * objective, USUAL_FACTOR * silence.usualFirstEventMillis()));
+    double usual = silence.usualFirstEventMillis();
+    double busy =
+        Math.min(
+            MAX_OBJECTIVES * objective, Math.max(MIN_OBJECTIVES * objective, USUAL_FACTOR * usual));
+    // The last moment from which another engine usually answers within the objective.
+    double useful = Math.max(LEAST_USUAL_FACTOR * usual, objective - usual);
+    return usual > 0 && useful < MIN_OBJECTIVES * objective ? useful : busy;
   }
 }
