Send held sessions apart from the evidence on roll-outs

Cause: a host sent the hashes of all held sessions with its evidence, and the pacer counted their bytes. With 4,096 of them and 28 hosts in the domain the first round was 847,256 bytes, after which the pacer sent no evidence for some 50 s, so a bad version stayed on other hosts. New hashes were found by comparing two lists of up to 4,096 with each other every 200 ms.

Change: hashes go in messages of their own with at most 256 each, which the pacer does not count; new ones are found by their position in the order in which they were held.

Ruled out: a smaller number of held sessions; it would still delay the evidence, and let more sessions change their version.

Result: the new test fails before (2 answers unknown at a peer after 5 s) and passes now; the other 9 tests of ShiftGossipTest pass.

--- a/server/src/main/java/org/clementinequay/server/gateway/ShiftGossip.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/ShiftGossip.java
@@ -23,6 +23,9 @@
   /** Marks a source that is a failure domain and not a host. */
   private static final String DOMAIN_PREFIX = "domain:";
 
+  /** Most sessions of a message; the others follow in later ones. */
+  private static final int MAX_SESSIONS_OF_A_MESSAGE = 256;
+
   private final Gateway gateway;
   private final PeerBroadcast links;
   private final Map<String, SentEvidence> sentByService = new HashMap<>();
@@ -33,7 +36,10 @@
     private final EvidencePacer pacer = new EvidencePacer();
     private TrafficShift.Evidence own = TrafficShift.Evidence.empty();
     private TrafficShift.Evidence ofDomain = TrafficShift.Evidence.empty();
-    private List<Long> heldSessions = List.of();
+
+    /** Number of held sessions that were sent, in the order in which they were held. */
+    private int heldSessions;
+
     private String stopReason = "";
     private boolean lastStage;
 
@@ -67,7 +73,7 @@
         sent.lastStage = lastStage;
         sendRound(shift, sent, newDecision, nowNanos);
       } else {
-        sendHeldSessions(shift, sent, nowNanos);
+        sendHeldSessions(shift, sent, false, nowNanos);
       }
     }
   }
@@ -83,11 +89,13 @@
         ofDomain.since(sent.pacer.isFullRound() ? none : sent.ofDomain);
     // Hosts that do not know the order yet drop what is sent in the first rounds.
     boolean allHeld = sent.pacer.isFullRound() || shift.holdsUnknownSessions(nowNanos);
-    List<Long> newHeld = takeHeldSessions(shift, sent, allHeld, nowNanos);
+    sendHeldSessions(shift, sent, allHeld, nowNanos);
+    // Without the bytes of the sessions, whose number must not delay the evidence.
     long bytes = 0;
-    if (always || !newOwn.isEmpty() || !newHeld.isEmpty()) {
+    if (always || !newOwn.isEmpty()) {
       bytes +=
-          links.broadcast(encode(shift, gateway.hostName, newOwn, newHeld, nowNanos), this::isNear);
+          links.broadcast(
+              encode(shift, gateway.hostName, newOwn, List.of(), nowNanos), this::isNear);
     }
     if (always || !newOfDomain.isEmpty()) {
       String source = DOMAIN_PREFIX + gateway.domain;
@@ -101,24 +109,25 @@
     sent.pacer.recordRound(nowNanos, bytes);
   }
 
-  /** Sends new sessions at once, because their next requests may come to other hosts. */
-  private void sendHeldSessions(TrafficShift shift, SentEvidence sent, long nowNanos) {
-    List<Long> newHeld = takeHeldSessions(shift, sent, false, nowNanos);
-    if (!newHeld.isEmpty()) {
-      TrafficShift.Evidence none = TrafficShift.Evidence.empty();
-      links.broadcast(encode(shift, gateway.hostName, none, newHeld, nowNanos), this::isNear);
-    }
-  }
-
-  private static List<Long> takeHeldSessions(
-      TrafficShift shift, SentEvidence sent, boolean all, long nowNanos) {
+  /**
+   * Sends new sessions at once, because their next requests may come to other hosts.
+   *
+   * @param again whether the last ones are sent again if there are no new ones
+   */
+  private void sendHeldSessions(
+      TrafficShift shift, SentEvidence sent, boolean again, long nowNanos) {
     List<Long> held = shift.heldSessions(nowNanos);
-    List<Long> result = new ArrayList<>(held);
-    if (!all) {
-      result.removeAll(sent.heldSessions);
+    int from = Math.min(sent.heldSessions, held.size());
+    if (again && from == held.size()) {
+      from = Math.max(0, held.size() - MAX_SESSIONS_OF_A_MESSAGE);
+    }
+    int to = Math.min(held.size(), from + MAX_SESSIONS_OF_A_MESSAGE);
+    sent.heldSessions = to;
+    if (from < to) {
+      TrafficShift.Evidence none = TrafficShift.Evidence.empty();
+      List<Long> news = held.subList(from, to);
+      links.broadcast(encode(shift, gateway.hostName, none, news, nowNanos), this::isNear);
     }
-    sent.heldSessions = held;
-    return result;
   }
 
   private boolean isNear(PeerNetwork.Peer peer) {
--- a/server/src/test/java/org/clementinequay/server/gateway/ShiftGossipTest.java
+++ b/server/src/test/java/org/clementinequay/server/gateway/ShiftGossipTest.java
@@ -187,6 +187,32 @@
       }
     }
 
+    // Guards against callers with many sessions, whose hashes use up the bytes for the evidence.
+    @Test
+    public void manySessionsDoNotDelayTheEvidence() {
+      Cluster cluster = new Cluster(88, 3);
+      Host crowded = cluster.hosts.get("front-0");
+      for (int i = 0; i < 40_000; i++) {
+        crowded.shift.recordOldSession("session-" + i, cluster.clock.nanoTime());
+      }
+      assertTrue(crowded.shift.heldSessions(cluster.clock.nanoTime()).size() > 1000);
+      cluster.step();
+      final long firstBytes = crowded.sentBytes;
+      // Too few for this host to stop the version itself, which it would tell at once.
+      for (int i = 0; i < 2; i++) {
+        crowded.shift.recordAnswer(crowded.self.name(), "sheets", "v2", true, false);
+      }
+      for (int i = 0; i < ROLLBACK_MILLIS / STEP_MILLIS; i++) {
+        cluster.step();
+      }
+      for (Host host : cluster.hosts.values()) {
+        TrafficShift.Evidence sum = host.shift.sum(source -> true);
+        long answers = sum.target().values().stream().mapToLong(c -> c.answers()).sum();
+        assertEquals(answers, 2, host.self.name());
+      }
+      assertTrue(firstBytes < 100_000, firstBytes + " bytes");
+    }
+
     // Guards against answers that count twice because they arrive on two ways.
     @Test
     public void everyHostCountsEachAnswerOnce() {
