Apply evacuations before a change that a peer passes on

Cause: a host that got a change from a peer first moved its position past the change and then applied the evacuations of the message. It did not apply them at all if the store's time was unknown, and a later read from the new position shows no evacuation before it. A read of its own in between would also date what was known without the evacuation later than the message, which is then dropped, and tell it to the domain.

Change: the evacuations come first; a change whose reading cannot tell them is not applied, so that the host reads it itself.

Ruled out: decoding evacuations from the passed rows; removed rows are not among them.

--- a/server/src/main/java/org/clementinequay/server/gateway/OperatorChangeTask.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/OperatorChangeTask.java
@@ -129,7 +129,9 @@
     if (message instanceof PeerMessage.OperatorReading reading) {
       handleReading(from, reading);
     } else if (message instanceof PeerMessage.OperatorChange change && change.reading() != null) {
-      if (change.reading().newestChange() > newestChange) {
+      // First, because a read from the position after the change shows no evacuation before it.
+      applyEvacuations(from, change.reading());
+      if (change.reading().newestChange() > newestChange && tellsEvacuations(change.reading())) {
         applyChange(from, change);
       }
       handleReading(from, change.reading());
@@ -159,9 +161,13 @@
     }
   }
 
+  private static boolean tellsEvacuations(PeerMessage.OperatorReading reading) {
+    return reading.evacuated() != null && reading.storeMillis() > 0;
+  }
+
   /** Applies the evacuations that a peer has read, so that the store need not serve this host. */
   private void applyEvacuations(PeerNetwork.Peer from, PeerMessage.OperatorReading reading) {
-    if (reading.evacuated() != null && reading.storeMillis() > 0) {
+    if (tellsEvacuations(reading)) {
       gateway.applyEvacuations(
           new EvacuationReading(reading.evacuated(), List.of(), true),
           reading.storeMillis(),
--- a/server/src/test/java/org/clementinequay/server/gateway/StoreRelayTest.java
+++ b/server/src/test/java/org/clementinequay/server/gateway/StoreRelayTest.java
@@ -1,6 +1,7 @@
 package org.clementinequay.server.gateway;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
 import java.time.Duration;
@@ -64,6 +65,8 @@
     private long revision = 1;
     private long operatorRevision = 1;
     private long calls;
+    private boolean tellsNoTime;
+    private boolean changeBeforeEvacuation;
 
     /** Value of the row of the configuration. */
     private String filler = "";
@@ -121,7 +124,7 @@
 
     /** Returns the time of the store's clock, which is not that of the hosts. */
     private long storeMillis() {
-      return clock.nanoTime() / 1_000_000 + 77_000;
+      return tellsNoTime ? 0 : clock.nanoTime() / 1_000_000 + 77_000;
     }
 
     private void run(long millis) {
@@ -333,6 +336,7 @@
 
     @Override
     public OperatorState decodeOperatorChange(List<Row> rows) {
+      cluster.changeBeforeEvacuation |= !gateway.evacuated.names().equals(cluster.evacuations);
       return state(rows.get(0).version(), rows);
     }
 
@@ -548,6 +552,12 @@
               .forEach(host -> cluster.refused.add(host.name));
         }
       },
+      STORE_TELLS_NO_TIME {
+        @Override
+        void begin(Cluster cluster) {
+          cluster.tellsNoTime = true;
+        }
+      },
       READERS_RESTARTED {
         @Override
         void begin(Cluster cluster) {
@@ -577,6 +587,16 @@
       assertTrue(begun < EVACUATION_MILLIS, "known after " + begun + " ms");
     }
 
+    // Guards against a read between the two, which would begin after the evacuation and date what
+    // is known without it.
+    @Test
+    public void areInForceBeforeAChangeCountsAsRead() {
+      cluster.evacuate("domain-1");
+      cluster.run(3000);
+      assertTrue(cluster.allKnow("domain-1"));
+      assertFalse(cluster.changeBeforeEvacuation);
+    }
+
     // Guards against a removed row that leaves no revision: a reader that has just started cannot
     // tell its peers by a revision that there is something to read.
     @Test(dataProvider = "troubles")
