Limit cold upstreams of a service that is configured later

Cause: the entries of upstreams were compared with the configuration when the first one arrived and when an entry changed. An upstream whose service came with a later configuration got no limit while it was cold.

Change: a configuration records the entries of all services that the one before did not have.

Ruled out: recording all entries with each configuration; entries that do not tell would become cold again with every change by the operator.

Result: the new test failed before (0 cold upstreams instead of 1); it and the other tests of AcceptedUpstreamsTest, StoreRelayTest and ColdStartLimiterTest pass.

--- a/server/src/main/java/org/clementinequay/server/gateway/Gateway.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/Gateway.java
@@ -166,12 +166,11 @@
         configuration == null ? 0 : configuration.version(),
         "routes",
         newer.routes().routes().size());
-    if (configuration == null) {
-      // Without a configuration it was not known what the upstreams bear.
-      available.values().stream()
-          .flatMap(List::stream)
-          .forEach(instance -> recordColdEntry(instance, newer));
-    }
+    // It was not known what upstreams of a service bear that was not configured.
+    available.values().stream()
+        .flatMap(List::stream)
+        .filter(instance -> !isConfigured(instance.service()))
+        .forEach(instance -> recordColdEntry(instance, newer));
     configuration = newer;
     return true;
   }
@@ -227,6 +226,10 @@
     }
   }
 
+  private boolean isConfigured(String service) {
+    return configuration != null && configuration.service(service).isPresent();
+  }
+
   private void recordColdEntry(UpstreamInstance instance, ForwardingConfiguration known) {
     long millis = instance.coldMillis();
     markCold(
--- a/server/src/test/java/org/clementinequay/server/gateway/AcceptedUpstreamsTest.java
+++ b/server/src/test/java/org/clementinequay/server/gateway/AcceptedUpstreamsTest.java
@@ -15,7 +15,11 @@
 import org.clementinequay.core.coldstart.ColdStartBound;
 import org.clementinequay.core.coldstart.ColdStartLimiter;
 import org.clementinequay.core.evacuation.EvacuationReading;
+import org.clementinequay.core.forward.CallerLimits;
+import org.clementinequay.core.forward.ForwardingConfiguration;
 import org.clementinequay.core.forward.RequestKind;
+import org.clementinequay.core.forward.RouteTable;
+import org.clementinequay.core.forward.ServiceProfile;
 import org.clementinequay.core.forward.UpstreamInstance;
 import org.eclipse.jetty.http.HttpHeader;
 import org.testng.annotations.BeforeMethod;
@@ -165,6 +169,20 @@
       assertHerdIsBounded();
     }
 
+    @Test
+    public void upstreamOfAServiceThatIsConfiguredLaterIsCold() {
+      fixture.gateway.updateInstances(
+          List.of(new UpstreamInstance("n", "new", "10.0.0.1:1", "x", "v1", 8, false, 1, 3000L)));
+      fixture.gateway.configure(
+          new ForwardingConfiguration(
+              2,
+              new RouteTable(List.of()),
+              List.of(new ServiceProfile("new", 10, Duration.ofSeconds(3), 10, Optional.empty())),
+              Optional.empty(),
+              new CallerLimits(1000, 1000, 1000, 1000)));
+      assertEquals(fixture.gateway.coldStarts.coldUpstreams(fixture.clock.nanoTime()), 1);
+    }
+
     @Test
     public void refusalIsTruthfulIfEveryUpstreamIsCold() {
       fixture.gateway.updateInstances(List.of(instance("a", "x", 3000), instance("b", "y", 3000)));
