Read the end of an evacuation while the readers run an earlier release

Cause: a reading by a host of an earlier release does not tell evacuations, and the removed row leaves no revision. It counted as a confirmation nevertheless, so that hosts kept an evacuation that had ended for as long as such hosts read the store for them.

Change: while something is evacuated, only a reading that tells evacuations confirms; otherwise a host reads itself when its knowledge gets old.

Ruled out: to count such a reading as news; every host would read at once with each of them.

--- a/server/src/main/java/org/clementinequay/server/gateway/OperatorChangeTask.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/OperatorChangeTask.java
@@ -142,7 +142,7 @@
     applyEvacuations(from, reading);
     if (reading.newestChange() > newestChange || differsInEvacuations(reading)) {
       schedule.recordBehind();
-    } else if (reading.newestChange() == newestChange) {
+    } else if (reading.newestChange() == newestChange && confirmsEvacuations(reading)) {
       schedule.recordConfirmation(
           storeClock.toHostNanos(reading.storeMillis(), gateway.clock.nanoTime()));
     }
@@ -175,6 +175,14 @@
     }
   }
 
+  /**
+   * Returns whether a reading shows that no evacuation has ended; its end leaves no revision, and a
+   * host of an earlier release does not tell it.
+   */
+  private boolean confirmsEvacuations(PeerMessage.OperatorReading reading) {
+    return reading.evacuated() != null || gateway.evacuated.names().isEmpty();
+  }
+
   /**
    * Returns whether a reading of unknown time has other evacuations, so that this host must read.
    */
--- a/server/src/test/java/org/clementinequay/server/gateway/StoreRelayTest.java
+++ b/server/src/test/java/org/clementinequay/server/gateway/StoreRelayTest.java
@@ -66,6 +66,7 @@
     private long operatorRevision = 1;
     private long calls;
     private boolean tellsNoTime;
+    private boolean earlierReaders;
     private boolean changeBeforeEvacuation;
 
     /** Value of the row of the configuration. */
@@ -257,7 +258,9 @@
       return new Peer(incarnation, name, domain, "r", 1, 0, 0, false);
     }
 
-    private long broadcast(PeerMessage message, Predicate<Peer> receivers) {
+    private long broadcast(PeerMessage sent, Predicate<Peer> receivers) {
+      PeerMessage message =
+          cluster.earlierReaders && role.isReader() ? withoutEvacuations(sent) : sent;
       for (Host other : cluster.hosts.values()) {
         if (other != this && !other.frozen && receivers.test(other.peer())) {
           if (delayMillis == 0) {
@@ -271,6 +274,15 @@
       return 0;
     }
 
+    private static PeerMessage withoutEvacuations(PeerMessage message) {
+      if (message instanceof PeerMessage.OperatorChange change) {
+        return withoutEvacuations(change.reading());
+      }
+      return message instanceof PeerMessage.OperatorReading reading
+          ? new PeerMessage.OperatorReading(reading.newestChange(), reading.storeMillis(), null)
+          : message;
+    }
+
     private void receive(Host from, PeerMessage message) {
       instances.received(from.peer(), message);
       changes.received(from.peer(), message);
@@ -558,6 +570,12 @@
           cluster.tellsNoTime = true;
         }
       },
+      READERS_OF_AN_EARLIER_RELEASE {
+        @Override
+        void begin(Cluster cluster) {
+          cluster.earlierReaders = true;
+        }
+      },
       READERS_RESTARTED {
         @Override
         void begin(Cluster cluster) {
