Shorten long ids of sessions

Cause: callers choose the ids, a head may have 64 KB, and a host keeps the ids of 4,096 sessions to see on which version they ran: up to 256 MB (by calculation).

The header that goes to the upstream stays.

Ruled out: to refuse such requests, which were served before; to drop the id, which would let the session change its version.

--- a/server/src/main/java/org/clementinequay/server/gateway/GatewayRequest.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/GatewayRequest.java
@@ -1,5 +1,7 @@
 package org.clementinequay.server.gateway;
 
+import com.google.common.hash.Hashing;
+import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalInt;
@@ -39,6 +41,20 @@
     OptionalInt expectedOutputTokens,
     List<PromptPart> promptParts,
     HttpFields forwardedHeaders) {
+  /** Longest id of a session that is kept as it is; a host keeps the ids of thousands. */
+  private static final int MAX_SESSION_LENGTH = 128;
+
+  /** Replaces a long id of a session by its hash, which is the same at every host. */
+  public GatewayRequest {
+    session = session.map(GatewayRequest::boundedSession);
+  }
+
+  private static String boundedSession(String id) {
+    return id.length() <= MAX_SESSION_LENGTH
+        ? id
+        : Hashing.sha256().hashString(id, StandardCharsets.UTF_8).toString();
+  }
+
   /** Returns the ids of all parts but the last, in order. */
   List<String> sharedPartIds() {
     return promptParts.stream()
