--- a/server/src/main/java/org/clementinequay/server/gateway/OperatorChangeTask.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/OperatorChangeTask.java
@@ -129,7 +129,9 @@
     if (message instanceof PeerMessage.OperatorReading reading) {
       handleReading(from, reading);
     } else if (message instanceof PeerMessage.OperatorChange change && change.reading() != null) {
-      if (change.reading().newestChange() > newestChange) {
+      // First, because a read from the position after the change shows no evacuation before it.
+      applyEvacuations(from, change.reading());
+      if (change.reading().newestChange() > newestChange && tellsEvacuations(change.reading())) {
         applyChange(from, change);
       }
       handleReading(from, change.reading());
@@ -140,7 +142,7 @@
     applyEvacuations(from, reading);
     if (reading.newestChange() > newestChange || differsInEvacuations(reading)) {
       schedule.recordBehind();
-    } else if (reading.newestChange() == newestChange) {
+    } else if (reading.newestChange() == newestChange && confirmsEvacuations(reading)) {
       schedule.recordConfirmation(
           storeClock.toHostNanos(reading.storeMillis(), gateway.clock.nanoTime()));
     }
@@ -159,9 +161,13 @@
     }
   }
 
+  private static boolean tellsEvacuations(PeerMessage.OperatorReading reading) {
+    return reading.evacuated() != null && reading.storeMillis() > 0;
+  }
+
   /** Applies the evacuations that a peer has read, so that the store need not serve this host. */
   private void applyEvacuations(PeerNetwork.Peer from, PeerMessage.OperatorReading reading) {
-    if (reading.evacuated() != null && reading.storeMillis() > 0) {
+    if (tellsEvacuations(reading)) {
       gateway.applyEvacuations(
           new EvacuationReading(reading.evacuated(), List.of(), true),
           reading.storeMillis(),
@@ -169,6 +175,14 @@
     }
   }
 
+  /**
+   * Returns whether a reading shows that no evacuation has ended; its end leaves no revision, and a
+   * host of an earlier release does not tell it.
+   */
+  private boolean confirmsEvacuations(PeerMessage.OperatorReading reading) {
+    return reading.evacuated() != null || gateway.evacuated.names().isEmpty();
+  }
+
   /**
    * Returns whether a reading of unknown time has other evacuations, so that this host must read.
    */
