Tell other domains which sessions stay on the old version

Change: hosts send what their domain holds to their links in other domains, as they do with evidence.

--- a/core/src/main/java/org/clementinequay/core/rollout/TrafficShift.java
+++ b/core/src/main/java/org/clementinequay/core/rollout/TrafficShift.java
@@ -371,14 +371,21 @@
     }
   }
 
-  /** Returns the hashes of the sessions that this host knows to belong to the old version. */
-  public synchronized List<Long> heldSessions(long nowNanos) {
-    return isBeforeSessionMove(nowNanos) ? held.own() : List.of();
+  /**
+   * Returns the hashes of the sessions that belong to the old version for now.
+   *
+   * @param ofDomain whether to include what the other hosts of this failure domain hold
+   */
+  public synchronized List<Long> heldSessions(boolean ofDomain, long nowNanos) {
+    if (!isBeforeSessionMove(nowNanos)) {
+      return List.of();
+    }
+    return ofDomain ? held.ofDomain() : held.own();
   }
 
   /** Adds hashes of sessions that a peer holds on the old version. */
-  public synchronized void mergeHeldSessions(Collection<Long> sessions) {
-    held.mergePeers(sessions);
+  public synchronized void mergeHeldSessions(Collection<Long> sessions, boolean near) {
+    held.mergePeers(sessions, near);
   }
 
   private boolean isHoldable(String session, long nowNanos) {
--- a/server/src/main/java/org/clementinequay/server/gateway/ShiftGossip.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/ShiftGossip.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import org.clementinequay.core.rollout.EvidencePacer;
@@ -16,8 +17,7 @@
  * share; together the hosts see enough. A host sends its own counts to the hosts of its failure
  * domain, and to its peers in other domains the sum over its domain, so that the size of a message
  * does not grow with the number of hosts. Of several sums of a domain the one with the most answers
- * counts. Within the domain, to which the callers of a session mostly keep, hosts also tell each
- * other which sessions they hold on the old version.
+ * counts. Hosts also tell each other which sessions they hold on the old version, on the same ways.
  */
 final class ShiftGossip implements PeerNetwork.Listener {
   /** Marks a source that is a failure domain and not a host. */
@@ -34,6 +34,7 @@
     private TrafficShift.Evidence own = TrafficShift.Evidence.empty();
     private TrafficShift.Evidence ofDomain = TrafficShift.Evidence.empty();
     private List<Long> heldSessions = List.of();
+    private List<Long> heldOfDomain = List.of();
     private String stopReason = "";
     private boolean lastStage;
 
@@ -89,11 +90,12 @@
       bytes +=
           links.broadcast(encode(shift, gateway.hostName, newOwn, newHeld, nowNanos), this::isNear);
     }
-    if (always || !newOfDomain.isEmpty()) {
+    List<Long> heldOfDomain = takeHeldOfDomain(shift, sent, allHeld, nowNanos);
+    if (always || !newOfDomain.isEmpty() || !heldOfDomain.isEmpty()) {
       String source = DOMAIN_PREFIX + gateway.domain;
       bytes +=
           links.broadcast(
-              encode(shift, source, newOfDomain, List.of(), nowNanos), peer -> !isNear(peer));
+              encode(shift, source, newOfDomain, heldOfDomain, nowNanos), peer -> !isNear(peer));
     }
     sent.own = own;
     sent.ofDomain = ofDomain;
@@ -103,24 +105,40 @@
 
   /** Sends new sessions at once, because their next requests may come to other hosts. */
   private void sendHeldSessions(TrafficShift shift, SentEvidence sent, long nowNanos) {
+    TrafficShift.Evidence none = TrafficShift.Evidence.empty();
     List<Long> newHeld = takeHeldSessions(shift, sent, false, nowNanos);
     if (!newHeld.isEmpty()) {
-      TrafficShift.Evidence none = TrafficShift.Evidence.empty();
       links.broadcast(encode(shift, gateway.hostName, none, newHeld, nowNanos), this::isNear);
     }
+    List<Long> newOfDomain = takeHeldOfDomain(shift, sent, false, nowNanos);
+    if (!newOfDomain.isEmpty()) {
+      String source = DOMAIN_PREFIX + gateway.domain;
+      links.broadcast(encode(shift, source, none, newOfDomain, nowNanos), peer -> !isNear(peer));
+    }
   }
 
   private static List<Long> takeHeldSessions(
       TrafficShift shift, SentEvidence sent, boolean all, long nowNanos) {
-    List<Long> held = shift.heldSessions(nowNanos);
-    List<Long> result = new ArrayList<>(held);
-    if (!all) {
-      result.removeAll(sent.heldSessions);
-    }
+    List<Long> held = shift.heldSessions(false, nowNanos);
+    List<Long> result = all ? held : without(held, sent.heldSessions);
     sent.heldSessions = held;
     return result;
   }
 
+  private static List<Long> takeHeldOfDomain(
+      TrafficShift shift, SentEvidence sent, boolean all, long nowNanos) {
+    List<Long> held = shift.heldSessions(true, nowNanos);
+    List<Long> result = all ? held : without(held, sent.heldOfDomain);
+    sent.heldOfDomain = held;
+    return result;
+  }
+
+  private static List<Long> without(List<Long> sessions, List<Long> sent) {
+    List<Long> result = new ArrayList<>(sessions);
+    result.removeAll(new HashSet<>(sent));
+    return result;
+  }
+
   private boolean isNear(PeerNetwork.Peer peer) {
     return peer.domain().equals(gateway.domain);
   }
@@ -180,7 +198,7 @@
     }
     shift.mergeEvidence(source, evidence);
     if (news.heldSessions() != null) {
-      shift.mergeHeldSessions(news.heldSessions());
+      shift.mergeHeldSessions(news.heldSessions(), isNear(from));
     }
     shift.moveStartTo(gateway.clock.nanoTime() - news.ageMillis() * 1_000_000);
     if (news.lastStage()) {
--- a/server/src/test/java/org/clementinequay/server/gateway/ShiftGossipTest.java
+++ b/server/src/test/java/org/clementinequay/server/gateway/ShiftGossipTest.java
@@ -224,7 +224,7 @@
     }
   }
 
-  /** Sessions that continue at other hosts of their failure domain. */
+  /** Sessions that continue at other hosts of their failure domain, or of any. */
   public static class Sessions {
     private static final ShiftOrder SECOND_ORDER =
         new ShiftOrder("engines", "v3", Duration.ofSeconds(24), 8);
@@ -249,12 +249,13 @@
 
     @DataProvider
     public Object[][] sizes() {
-      return new Object[][] {{9, 3}, {88, 3}};
+      return new Object[][] {{9, 3, false}, {88, 3, false}, {9, 3, true}, {88, 3, true}};
     }
 
     // Replays sessions of which a host knows only the requests that it served itself.
     @Test(dataProvider = "sizes")
-    public void noSessionChangesItsVersionInTheFirstHalf(int hostCount, int domainCount) {
+    public void noSessionChangesItsVersionInTheFirstHalf(
+        int hostCount, int domainCount, boolean across) {
       Cluster cluster = new Cluster(hostCount, domainCount);
       List<Session> sessions = new ArrayList<>();
       for (int i = 0; i < domainCount * SESSIONS_OF_A_DOMAIN; i++) {
@@ -282,7 +283,7 @@
             session.endMillis = now + 2000 + random.nextInt(20_000);
           }
           session.nextMillis = now + 200 + random.nextInt(MAX_PAUSE_MILLIS - 200);
-          int domain = i % domainCount;
+          int domain = across ? random.nextInt(domainCount) : i % domainCount;
           Host host = hosts.get(domain + domainCount * random.nextInt(hostCount / domainCount));
           String version = serve(host, session.id);
           changes += !begins && !version.equals(session.version) ? 1 : 0;
