--- a/server/src/main/java/org/clementinequay/server/gateway/ShiftGossip.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/ShiftGossip.java
@@ -2,8 +2,10 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.clementinequay.core.rollout.EvidencePacer;
 import org.clementinequay.core.rollout.TrafficShift;
 import org.clementinequay.core.rollout.VersionCounts;
@@ -16,8 +18,7 @@
  * share; together the hosts see enough. A host sends its own counts to the hosts of its failure
  * domain, and to its peers in other domains the sum over its domain, so that the size of a message
  * does not grow with the number of hosts. Of several sums of a domain the one with the most answers
- * counts. Within the domain, to which the callers of a session mostly keep, hosts also tell each
- * other which sessions they hold on the old version.
+ * counts. Hosts also tell each other which sessions they hold on the old version, on the same ways.
  */
 final class ShiftGossip implements PeerNetwork.Listener {
   /** Marks a source that is a failure domain and not a host. */
@@ -36,10 +37,8 @@
     private final EvidencePacer pacer = new EvidencePacer();
     private TrafficShift.Evidence own = TrafficShift.Evidence.empty();
     private TrafficShift.Evidence ofDomain = TrafficShift.Evidence.empty();
-
-    /** Number of held sessions that were sent, in the order in which they were held. */
-    private int heldSessions;
-
+    private final SentSessions ownSessions = new SentSessions();
+    private final SentSessions sessionsOfDomain = new SentSessions();
     private String stopReason = "";
     private boolean lastStage;
 
@@ -48,6 +47,21 @@
     }
   }
 
+  /** Sessions that were sent to the same peers. */
+  private static final class SentSessions {
+    private final Set<Long> sent = new HashSet<>();
+
+    /** Returns sessions to send: new ones, or the last ones if there are none. */
+    private List<Long> next(List<Long> held, boolean again) {
+      List<Long> result =
+          held.stream().filter(s -> !sent.contains(s)).limit(MAX_SESSIONS_OF_A_MESSAGE).toList();
+      sent.addAll(result);
+      return result.isEmpty() && again
+          ? held.subList(Math.max(0, held.size() - MAX_SESSIONS_OF_A_MESSAGE), held.size())
+          : result;
+    }
+  }
+
   ShiftGossip(Gateway gateway, PeerBroadcast links) {
     this.gateway = gateway;
     this.links = links;
@@ -101,7 +115,7 @@
       String source = DOMAIN_PREFIX + gateway.domain;
       bytes +=
           links.broadcast(
-              encode(shift, source, newOfDomain, List.of(), nowNanos), peer -> !isNear(peer));
+              encode(shift, source, newOfDomain, heldOfDomain, nowNanos), peer -> !isNear(peer));
     }
     sent.own = own;
     sent.ofDomain = ofDomain;
@@ -116,17 +130,15 @@
    */
   private void sendHeldSessions(
       TrafficShift shift, SentEvidence sent, boolean again, long nowNanos) {
-    List<Long> held = shift.heldSessions(nowNanos);
-    int from = Math.min(sent.heldSessions, held.size());
-    if (again && from == held.size()) {
-      from = Math.max(0, held.size() - MAX_SESSIONS_OF_A_MESSAGE);
+    TrafficShift.Evidence none = TrafficShift.Evidence.empty();
+    List<Long> own = sent.ownSessions.next(shift.heldSessions(false, nowNanos), again);
+    if (!own.isEmpty()) {
+      links.broadcast(encode(shift, gateway.hostName, none, own, nowNanos), this::isNear);
     }
-    int to = Math.min(held.size(), from + MAX_SESSIONS_OF_A_MESSAGE);
-    sent.heldSessions = to;
-    if (from < to) {
-      TrafficShift.Evidence none = TrafficShift.Evidence.empty();
-      List<Long> news = held.subList(from, to);
-      links.broadcast(encode(shift, gateway.hostName, none, news, nowNanos), this::isNear);
+    List<Long> ofDomain = sent.sessionsOfDomain.next(shift.heldSessions(true, nowNanos), again);
+    if (!ofDomain.isEmpty()) {
+      String source = DOMAIN_PREFIX + gateway.domain;
+      links.broadcast(encode(shift, source, none, ofDomain, nowNanos), peer -> !isNear(peer));
     }
   }
 
@@ -189,7 +201,7 @@
     }
     shift.mergeEvidence(source, evidence);
     if (news.heldSessions() != null) {
-      shift.mergeHeldSessions(news.heldSessions());
+      shift.mergeHeldSessions(news.heldSessions(), isNear(from));
     }
     shift.moveStartTo(gateway.clock.nanoTime() - news.ageMillis() * 1_000_000);
     if (news.lastStage()) {
