--- a/server/src/main/java/org/clementinequay/server/gateway/ShiftGossip.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/ShiftGossip.java
@@ -115,7 +115,7 @@
       String source = DOMAIN_PREFIX + gateway.domain;
       bytes +=
           links.broadcast(
-              encode(shift, source, newOfDomain, heldOfDomain, nowNanos), peer -> !isNear(peer));
+              encode(shift, source, newOfDomain, List.of(), nowNanos), peer -> !isNear(peer));
     }
     sent.own = own;
     sent.ofDomain = ofDomain;
