Keep the connection of a request that is passed on although it was to be turned away

Cause: the budget decides to turn a caller away and hands that to another thread; where the body is complete first, the late thread found no receiver and closed the connection of a request that runs (found by a review). Change: passing a request on takes the decision back, and a late thread does nothing then. Ruled out: closing under the lock of the budget, which calls out under it. A gap of a few instructions between the look and the close is left.

--- a/core/src/main/java/org/clementinequay/core/ingress/IngressBudget.java
+++ b/core/src/main/java/org/clementinequay/core/ingress/IngressBudget.java
@@ -134,9 +134,23 @@
       return;
     }
     add(share, CONNECTION_BYTES + headBytes + (long) fields * FIELD_BYTES - share.bytes);
+    run(share);
+  }
+
+  synchronized void endBody(IngressShare share) {
+    run(share);
+  }
+
+  /** A request that is passed on is not turned away any more, not even if that was decided. */
+  private void run(IngressShare share) {
+    share.turnedAway = false;
     enter(share, IngressPhase.RUNNING);
   }
 
+  synchronized boolean isTurnedAway(IngressShare share) {
+    return share.turnedAway;
+  }
+
   synchronized void beginBody(IngressShare share, String account, long limitMillis) {
     share.account = account;
     addToAccount(share, share.bytes);
--- a/core/src/main/java/org/clementinequay/core/ingress/IngressShare.java
+++ b/core/src/main/java/org/clementinequay/core/ingress/IngressShare.java
@@ -73,7 +73,12 @@
 
   /** The body is complete. */
   public void endBody() {
-    budget.enter(this, IngressPhase.RUNNING);
+    budget.endBody(this);
+  }
+
+  /** Returns whether the caller is still to be turned away, as its holder was told. */
+  public boolean isTurnedAway() {
+    return budget.isTurnedAway(this);
   }
 
   /** Takes bytes of an answer that must be sent, also beyond the limit. */
--- a/server/src/main/java/org/clementinequay/server/gateway/CloseAwareEndPoint.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/CloseAwareEndPoint.java
@@ -359,6 +359,10 @@
       executor.execute(
           () -> {
             IngressHolder current = currentReceiver();
+            if (!share.isTurnedAway()) {
+              // This thread was late, and the request is passed on.
+              return;
+            }
             if (current == null) {
               close();
             } else {
--- a/server/src/test/java/org/clementinequay/server/gateway/CloseAwareEndPointTest.java
+++ b/server/src/test/java/org/clementinequay/server/gateway/CloseAwareEndPointTest.java
@@ -5,14 +5,21 @@
 import static org.testng.Assert.assertTrue;
 
 import java.io.InputStream;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.nio.channels.ServerSocketChannel;
+import java.nio.channels.SocketChannel;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.Queue;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import org.clementinequay.core.ingress.IngressBudget;
+import org.clementinequay.core.ingress.IngressHolder;
 import org.clementinequay.core.ingress.IngressLimits;
+import org.clementinequay.core.ingress.TurnAway;
 import org.eclipse.jetty.server.Handler;
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
@@ -29,6 +36,45 @@
   private static final String REQUEST = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
   private static final long WAIT_SECONDS = 30;
 
+  /** What the budget says to a connection whose threads are late. */
+  public static class LateTurnAway {
+    private final Queue<Runnable> tasks = new ArrayDeque<>();
+    private final IngressBudget budget = new IngressBudget(new IngressLimits(1 << 20, 10, 10));
+
+    // Guards against the loss of a request that is passed on before its turning away is carried
+    // out.
+    @Test
+    public void doesNotCloseTheConnectionOfARequestThatIsPassedOn() throws Exception {
+      try (ServerSocketChannel listener =
+              ServerSocketChannel.open().bind(new InetSocketAddress("127.0.0.1", 0));
+          SocketChannel channel = SocketChannel.open(listener.getLocalAddress())) {
+        channel.configureBlocking(false);
+        CloseAwareEndPoint endPoint =
+            new CloseAwareEndPoint(
+                channel, null, null, null, tasks::add, new LingeringCloser(), budget);
+        endPoint.onOpen();
+        endPoint.share().beginRequest(100, 5);
+        endPoint.setReceiver(new IgnoringHolder());
+        endPoint.share().beginBody("", 100);
+        budget.step(0, 1000);
+        budget.step(TimeUnit.MILLISECONDS.toNanos(200), 1000);
+        assertEquals(tasks.size(), 1, "the body took too long");
+        endPoint.share().endBody();
+        endPoint.setReceiver(null);
+        tasks.remove().run();
+        assertTrue(endPoint.isOpen());
+      }
+    }
+
+    private static final class IgnoringHolder implements IngressHolder {
+      @Override
+      public void resume() {}
+
+      @Override
+      public void turnAway(TurnAway limit) {}
+    }
+  }
+
   /** The check that does not wait for the selector. */
   public static class ImmediateCheck {
     private final BlockingQueue<Exchange> exchanges = new LinkedBlockingQueue<>();
