Take no retry for a waiting request that no upstream can take

Cause: an upstream that rejected a request and left the list looked as if it had room, so that each look at the queue took a retry of the service; an offer that did not count was taken back as if it had (found by a review). Change: the queue asks whether the upstream is still a candidate before it takes a retry; AttemptHistory takes back only what it counted. Ruled out: keeping the pause of an upstream that has left. Result: WaitingRequestTest.takesNoRetriesWhileTheUpstreamsThatRejectedItAreGone failed before and passes; AttemptHistoryTest passes and was not run on the code before.

--- a/server/src/main/java/org/clementinequay/server/gateway/AttemptHistory.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/AttemptHistory.java
@@ -14,6 +14,12 @@
   private final Set<String> rejected = new HashSet<>();
 
   private int count;
+
+  /**
+   * Whether the last attempt counts; one at an upstream that rejected the request before does not.
+   */
+  private boolean lastCounted;
+
   private boolean mayHaveRun;
 
   /** Returns the number of attempts that count towards the limit of the route. */
@@ -36,7 +42,8 @@
   }
 
   void recordStart(String upstreamId) {
-    if (!rejected.remove(upstreamId)) {
+    lastCounted = !rejected.remove(upstreamId);
+    if (lastCounted) {
       count++;
     }
     tried.add(upstreamId);
@@ -44,7 +51,10 @@
 
   /** Takes back the last attempt, which no upstream received. */
   void recordNotSent() {
-    count--;
+    if (lastCounted) {
+      count--;
+      lastCounted = false;
+    }
   }
 
   /** Records that the upstream of the last attempt did not run the request. */
@@ -53,7 +63,7 @@
       rejected.add(upstreamId);
     } else {
       // Otherwise the rejections of full upstreams would use up the attempts of the request.
-      count--;
+      recordNotSent();
     }
   }
 
--- a/server/src/main/java/org/clementinequay/server/gateway/AttemptPlacement.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/AttemptPlacement.java
@@ -126,13 +126,22 @@
    * none of them accepts requests.
    */
   Optional<Selection> selectAgain(Set<String> ids) {
+    return select(candidatesAgain(ids));
+  }
+
+  /** Returns whether {@link #selectAgain} would select an upstream. */
+  boolean hasAgain(Set<String> ids) {
+    return !candidatesAgain(ids).isEmpty();
+  }
+
+  private List<UpstreamInstance> candidatesAgain(Set<String> ids) {
     List<UpstreamInstance> candidates = new ArrayList<>();
     for (UpstreamInstance instance : admitting()) {
       if (ids.contains(instance.id()) && !isStoppedTarget(instance)) {
         candidates.add(instance);
       }
     }
-    return select(candidates);
+    return candidates;
   }
 
   private Optional<Selection> select(List<UpstreamInstance> candidates) {
--- a/server/src/main/java/org/clementinequay/server/gateway/WaitStep.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/WaitStep.java
@@ -75,7 +75,7 @@
   /** Starts the request, which waits, if there is room, or rejects it if it waited too long. */
   void checkRoom() {
     boolean other = hasOther();
-    Decision decision = decide(other || !offeredAgain().isEmpty());
+    Decision decision = decide(other || forwarder.placement.hasAgain(offeredAgain()));
     if (decision == Decision.WAIT) {
       return;
     }
--- a/server/src/test/java/org/clementinequay/server/gateway/WaitingRequestTest.java
+++ b/server/src/test/java/org/clementinequay/server/gateway/WaitingRequestTest.java
@@ -106,4 +106,15 @@
     assertEquals(fixture.response.status, 503);
     assertFalse(fixture.response.aborted);
   }
+
+  // Guards against a request that takes all retries of its service without being sent.
+  @Test
+  public void takesNoRetriesWhileTheUpstreamsThatRejectedItAreGone() {
+    fixture.gateway.updateInstances(List.of());
+    for (int i = 0; i < 40; i++) {
+      pass(10);
+    }
+    assertEquals(fixture.sent.size(), 3);
+    assertTrue(fixture.gateway.tryRetry("s"));
+  }
 }
