Apply evacuations before the configuration, and forget the cursor under the lock

Cause: on the first reading of a host that starts, requests could be sent to an evacuated domain between the two; a cursor that was reset could be raised by a change of a peer (found by a review, by reading). Change: the order of the two calls; the reset takes the lock that the change takes. Ruled out: one lock over the whole step, which waits at the store. Result: StoreRelayTest passes; no test shows the window.

--- a/server/src/main/java/org/clementinequay/server/gateway/OperatorChangeTask.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/OperatorChangeTask.java
@@ -65,21 +65,23 @@
       return Duration.ofNanos(Math.min(untilRead, CHECK_INTERVAL.toNanos()));
     }
     try {
+      long from = cursor;
+      boolean change = from >= 0;
       OperatorState state =
-          cursor < 0
-              ? platform.operatorState()
-              : platform.operatorChanges(cursor, reader ? maxWait : Duration.ZERO);
-      boolean change = cursor >= 0;
-      apply(state);
+          change
+              ? platform.operatorChanges(from, reader ? maxWait : Duration.ZERO)
+              : platform.operatorState();
+      // First, because a host that starts takes requests once it has a configuration.
       gateway.applyEvacuations(
           state.evacuations(), state.storeMillis(), change ? "a change" : "all rows");
+      apply(state);
       long knownBefore = recordKnown(state.cursor(), state.newestChange());
       schedule.recordRead(storeClock.toHostNanos(state.storeMillis(), gateway.clock.nanoTime()));
       dependency.succeeded();
       announce(state, knownBefore, reader && change && state.newestChange() > knownBefore);
     } catch (HistoryLostException e) {
       gateway.log.record("history_lost", "cursor", cursor, "reason", e.getMessage());
-      cursor = -1;
+      forgetCursor();
     } catch (PlatformException e) {
       schedule.recordFailure(gateway.clock.nanoTime());
       dependency.failed(e);
@@ -87,6 +89,10 @@
     return Duration.ZERO;
   }
 
+  private synchronized void forgetCursor() {
+    cursor = -1;
+  }
+
   private void apply(OperatorState state) {
     state.configuration().ifPresent(gateway::configure);
     state.orders().forEach(gateway::applyOrder);
