Give client accounts fair shares of the engines under contention

Cause: an account that sends many times its usual, or repeats at once, fills the queues of the engines, and the requests of all other accounts wait behind its own. A host sees a fraction of a request a second of each account.

Change: AccountShares sums the work of each account in the last 5 s, here and as the hosts of the failure domain report it (message 'demand', each second, changes only), and takes the max-min share of the work that engines began to answer. Under contention, requests beyond a share get urgency 9 and the last place among the waiting; nothing is rejected for it. Off unless accountShares is true and there are engineLoadHosts hosts.

Ruled out: shares alone without the mean demand as lower bound (all accounts can be beyond theirs, and priorities are lost); a fixed margin of 1.25 (sums of three requests are noise); median first event above the objective as the sign of contention (the queue is then too long to drain within the surge).

--- a/server/src/main/java/org/clementinequay/server/gateway/AttemptPlacement.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/AttemptPlacement.java
@@ -108,6 +108,11 @@
     gateway.engineSelector.recordStart(choice, prefix(), engineMemoryTokens());
   }
 
+  /** Returns the estimated work of the request in engine milliseconds, if nothing is cached. */
+  double workMillis() {
+    return engineWork(weight()).millis(0);
+  }
+
   /** Returns whether the prompt is larger than the memory of an engine, so that none can run it. */
   boolean exceedsEngineMemory() {
     return engineWork(1).exceedsMemory();
--- a/server/src/main/java/org/clementinequay/server/gateway/Gateway.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/Gateway.java
@@ -15,6 +15,7 @@
 import java.util.function.IntSupplier;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
+import org.clementinequay.core.admission.AccountShares;
 import org.clementinequay.core.admission.FullUpstreams;
 import org.clementinequay.core.admission.RecentTimes;
 import org.clementinequay.core.admission.WaitingRequests;
@@ -95,6 +96,9 @@
 
   final FullUpstreams fullUpstreams = new FullUpstreams();
 
+  /** Demand of client accounts here and at the other hosts; off unless the settings say so. */
+  final AccountShares accountShares = new AccountShares();
+
   /** Requests that wait for room; none does unless the settings allow it. */
   final WaitingRequests<RequestForwarder> waiting;
 
--- a/server/src/main/java/org/clementinequay/server/gateway/GatewayGauges.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/GatewayGauges.java
@@ -34,6 +34,9 @@
     metrics.registerGauge(
         "clementinequay_quarantined_prompt_parts",
         () -> gateway.crashGuard.quarantinedParts().size());
+    metrics.registerGauge(
+        "clementinequay_accounts_over_share",
+        () -> gateway.accountShares.accountsOverShare(gateway.clock.nanoTime()));
     metrics.registerGauge(
         "clementinequay_engine_load_hosts_heard",
         () -> gateway.engineSelector.exchange().heardHosts(gateway.clock.nanoTime()));
--- a/server/src/main/java/org/clementinequay/server/gateway/GatewayHost.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/GatewayHost.java
@@ -147,7 +147,11 @@
         new EngineLoadTask(
             gateway, peers::broadcast, peers::listedHosts, settings.engineLoadHosts().intValue());
     peers.addListener(engineLoad);
-    addTask("engine-load", engineLoad::step);
+    AccountDemandTask demand =
+        new AccountDemandTask(
+            gateway, peers::broadcast, peers::listedHosts, settings.accountShareHosts());
+    peers.addListener(demand);
+    addTask("engine-load", engineLoad::step, demand::step);
   }
 
   private int listedHosts() {
--- a/server/src/main/java/org/clementinequay/server/gateway/GatewaySettings.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/GatewaySettings.java
@@ -45,6 +45,8 @@
  *     the load of engines; never if it is absent or not positive
  * @param promptCache whether cached beginnings of prompts count when an engine is chosen; true if
  *     it is absent
+ * @param accountShares whether client accounts have shares of the engines from {@code
+ *     engineLoadHosts} hosts on; not if it is absent or not {@code true}
  * @param maxCallerBytes bytes that the host holds for callers; by the heap if it is absent
  * @param maxConnections open connections of callers; by the descriptors if it is absent
  * @param maxConnectionsPerAddress open connections of one address of callers; {@code
@@ -74,6 +76,7 @@
     JsonNode maxWaitingRequests,
     Double engineLoadHosts,
     Boolean promptCache,
+    JsonNode accountShares,
     JsonNode maxCallerBytes,
     JsonNode maxConnections,
     JsonNode maxConnectionsPerAddress) {
@@ -166,6 +169,23 @@
     return maxWaitingRequests.intValue();
   }
 
+  /**
+   * Returns the number of listed hosts from which client accounts have shares; 0 if they never do.
+   * A value that makes no sense is logged and read as false.
+   */
+  public int accountShareHosts() {
+    if (accountShares == null || accountShares.isNull()) {
+      return 0;
+    }
+    if (!accountShares.isBoolean()) {
+      logger.atWarning().log(
+          "accountShares: is not true or false, accounts have no shares: %s", accountShares);
+    }
+    return accountShares.isBoolean() && accountShares.booleanValue()
+        ? engineLoadHosts.intValue()
+        : 0;
+  }
+
   private static void requirePresent(List<String> findings, String field, String value) {
     if (value == null || value.isBlank()) {
       findings.add(field + ": is missing");
--- a/server/src/main/java/org/clementinequay/server/gateway/RequestForwarder.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/RequestForwarder.java
@@ -49,6 +49,7 @@
   final AdmissionStep admission;
   final WaitStep waiting;
   final AttemptPlacement placement;
+  private final AccountShareStep accountShare;
   final EventSplitter events;
   final OpenCalls openCalls = new OpenCalls(this);
   GatewayAttempt current;
@@ -82,6 +83,7 @@
     this.service = route.selectService(gateway.random.nextDouble());
     this.sharedPartIds = request.sharedPartIds();
     this.placement = new AttemptPlacement(gateway, request, route, account, service);
+    this.accountShare = new AccountShareStep(this, account.map(AccountKeys::name));
     this.admission = new AdmissionStep(this);
     this.waiting = new WaitStep(this);
     this.events = new EventSplitter(request.lastEventId().orElse(0));
@@ -118,6 +120,7 @@
           startedNanos = gateway.clock.nanoTime();
           gateway.activeRequests.add(this);
           gateway.recordRequest(service);
+          accountShare.recordRequest();
           startAttempt();
         });
   }
@@ -317,10 +320,14 @@
                 gateway.sessions.recordUse(session, instance.version(), gateway.clock.nanoTime()));
   }
 
-  /** Returns the rank of the request, which its account or else its route sets; 0 is first. */
+  /**
+   * Returns the rank of the request, which its account or else its route sets; 0 is first. Beyond
+   * the share of its account it comes last.
+   */
   int urgency() {
-    return Math.min(
-        9, account.map(AccountKeys::priority).orElse(OptionalInt.empty()).orElse(route.priority()));
+    int priority =
+        account.map(AccountKeys::priority).orElse(OptionalInt.empty()).orElse(route.priority());
+    return accountShare.urgency(Math.min(AccountShareStep.LOWEST_URGENCY, priority));
   }
 
   /** Abandons the current attempt, if there is one; this is no failure of its upstream. */
@@ -412,6 +419,7 @@
 
   /** Records that the answer is complete; its last bytes may still be sent. */
   void finishComplete(ResponseHead head) {
+    accountShare.recordServed();
     if (head.success() && request.lastEventId().isEmpty()) {
       long nanos = gateway.clock.nanoTime() - startedNanos;
       gateway.durations.record(route.name(), Duration.ofNanos(nanos));
@@ -422,6 +430,7 @@
   /** Sends the head of a stream to the caller, who can take only the rest of this answer then. */
   void commit(ResponseHead head, long eventNanos, String upstreamId) {
     committed = true;
+    accountShare.recordServed();
     firstEventNanos = eventNanos;
     log(
         "first_event",
--- a/server/src/main/java/org/clementinequay/server/peer/PeerMessage.java
+++ b/server/src/main/java/org/clementinequay/server/peer/PeerMessage.java
@@ -29,7 +29,8 @@
   @JsonSubTypes.Type(value = PeerMessage.OperatorReading.class, name = "operator"),
   @JsonSubTypes.Type(value = PeerMessage.CrashNews.class, name = "crash"),
   @JsonSubTypes.Type(value = PeerMessage.OperatorChange.class, name = "change"),
-  @JsonSubTypes.Type(value = PeerMessage.EngineLoad.class, name = "load")
+  @JsonSubTypes.Type(value = PeerMessage.EngineLoad.class, name = "load"),
+  @JsonSubTypes.Type(value = PeerMessage.AccountDemand.class, name = "demand")
 })
 public sealed interface PeerMessage {
   /** First message on a connection, in both directions. */
@@ -233,4 +234,29 @@
       @JsonProperty("k") long tokens,
       @JsonProperty("n") int samples,
       @JsonProperty("m") double millisPerToken) {}
+
+  /**
+   * What client accounts demanded of the sender in the last seconds.
+   *
+   * @param full whether accounts that are missing had no demand
+   * @param servedMillis work that engines began to answer, in engine milliseconds
+   * @param contended whether the sender saw contention for the engines
+   * @param accounts accounts whose demand changed, or all that had any
+   */
+  record AccountDemand(
+      @JsonProperty("f") boolean full,
+      @JsonProperty("s") double servedMillis,
+      @JsonProperty("c") boolean contended,
+      @JsonProperty("a") List<AccountWork> accounts)
+      implements PeerMessage {}
+
+  /**
+   * Demand of one account.
+   *
+   * @param workMillis work of its requests in engine milliseconds
+   */
+  record AccountWork(
+      @JsonProperty("n") String account,
+      @JsonProperty("w") double workMillis,
+      @JsonProperty("r") double requests) {}
 }
