--- a/core/src/main/java/org/clementinequay/core/admission/AccountShares.java
+++ b/core/src/main/java/org/clementinequay/core/admission/AccountShares.java
@@ -295,33 +295,10 @@
   /** Returns the work from which an account is beyond its share. */
   private static double boundMillis(Map<String, Demand> demand, double roomMillis) {
     Demand total = demand.values().stream().reduce(new Demand(0, 0), Demand::plus);
-    double share = shareMillis(demand, roomMillis);
+    double share =
+        MaxMinShare.largest(
+            demand.values().stream().mapToDouble(Demand::workMillis).toArray(), roomMillis);
     double meanMillis = total.workMillis / Math.max(1, total.requests);
     return MARGIN * share + DEVIATIONS * Math.sqrt(share * meanMillis);
   }
-
-  /**
-   * Returns the largest max-min share. It is no less than the mean demand: if all were beyond their
-   * shares, the order of their priorities would be lost.
-   */
-  private static double shareMillis(Map<String, Demand> demand, double roomMillis) {
-    double[] sorted = demand.values().stream().mapToDouble(Demand::workMillis).sorted().toArray();
-    double total = 0;
-    for (double work : sorted) {
-      total += work;
-    }
-    if (roomMillis >= total) {
-      return Double.POSITIVE_INFINITY;
-    }
-    double left = roomMillis;
-    int accounts = sorted.length;
-    for (double work : sorted) {
-      if (work > left / accounts) {
-        break;
-      }
-      left -= work;
-      accounts--;
-    }
-    return Math.max(left / Math.max(1, accounts), total / Math.max(1, sorted.length));
-  }
 }
