--- a/server/src/main/java/org/clementinequay/server/gateway/GatewaySettings.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/GatewaySettings.java
@@ -45,6 +45,8 @@
  *     the load of engines; never if it is absent or not positive
  * @param promptCache whether cached beginnings of prompts count when an engine is chosen; true if
  *     it is absent
+ * @param accountShareHosts number of listed hosts from which client accounts have shares of the
+ *     engines; never if it is absent or no whole number
  * @param maxCallerBytes bytes that the host holds for callers; by the heap if it is absent
  * @param maxConnections open connections of callers; by the descriptors if it is absent
  * @param maxConnectionsPerAddress open connections of one address of callers; {@code
@@ -74,6 +76,7 @@
     JsonNode maxWaitingRequests,
     Double engineLoadHosts,
     Boolean promptCache,
+    JsonNode accountShareHosts,
     JsonNode maxCallerBytes,
     JsonNode maxConnections,
     JsonNode maxConnectionsPerAddress) {
@@ -166,6 +169,25 @@
     return maxWaitingRequests.intValue();
   }
 
+  /**
+   * Returns the number of listed hosts from which client accounts have shares; 0 if they never do.
+   * A value that makes no sense is logged and read as 0.
+   */
+  public int listedHostsForShares() {
+    if (accountShareHosts == null || accountShareHosts.isNull()) {
+      return 0;
+    }
+    if (!accountShareHosts.isIntegralNumber()
+        || !accountShareHosts.canConvertToInt()
+        || accountShareHosts.intValue() < 0) {
+      logger.atWarning().log(
+          "accountShareHosts: is no whole number from 0, accounts have no shares: %s",
+          accountShareHosts);
+      return 0;
+    }
+    return accountShareHosts.intValue();
+  }
+
   private static void requirePresent(List<String> findings, String field, String value) {
     if (value == null || value.isBlank()) {
       findings.add(field + ": is missing");
