--- a/core/src/main/java/org/clementinequay/core/admission/AdmissionPolicy.java
+++ b/core/src/main/java/org/clementinequay/core/admission/AdmissionPolicy.java
@@ -7,8 +7,8 @@
  * rejected one as full moments ago. Offering the request on and on uses up the retries that all
  * callers share, and rejecting it wastes the room that appears within a fraction of its objective.
  * It waits for a bounded time, and is rejected at once if the last answers show that its own would
- * come too late (deadline-aware admission as in Maurer et al., DAGOR, SoCC 2018, on waiting times
- * instead of queue lengths).
+ * come too late (admission by waiting times instead of queue lengths, as in DAGOR; Zhou et al.,
+ * Overload Control for Scaling WeChat Microservices, SoCC 2018).
  */
 public final class AdmissionPolicy {
   /** Share of its remaining time that a request waits at most. */
