Take ports of test hosts from below those of outgoing connections

The port had been found free among those that the system gives to outgoing connections, and was taken before the host bound it, which is seconds later. Change: ports from 22,000 to 32,000, tried until one is free. Ruled out: repeating the start, which would hide a host that ends for another reason.

--- a/bench/src/test/java/org/clementinequay/bench/path/HostProcess.java
+++ b/bench/src/test/java/org/clementinequay/bench/path/HostProcess.java
@@ -10,6 +10,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Locale;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 
 /** Entry host that runs as a separate process, so that tests can kill, suspend or stop it. */
@@ -18,6 +19,10 @@
   private static final String PASSWORD_HASH =
       "pbkdf2-sha256$600000$RUAPh/ifHa+fKAvcoh0e0Q==$0+xa7ijxP6b44We3h+itHJsa1C2xuLeiLO0eQOIWaDM=";
 
+  private static final int FIRST_PORT = 22_000;
+  private static final int END_PORT = 32_000;
+  private static final int MAX_PORT_TRIES = 1000;
+
   final String name;
   final String domain;
   final int callerPort = findFreePort();
@@ -73,12 +78,20 @@
         peerPort);
   }
 
+  /**
+   * Returns a free port below those that the system gives to outgoing connections, which could take
+   * it before the process of the host binds it.
+   */
   private static int findFreePort() {
-    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-      return socket.getLocalPort();
-    } catch (IOException e) {
-      throw new IllegalStateException("no free port on the loopback interface", e);
+    for (int i = 0; i < MAX_PORT_TRIES; i++) {
+      int port = ThreadLocalRandom.current().nextInt(FIRST_PORT, END_PORT);
+      try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
+        return socket.getLocalPort();
+      } catch (IOException e) {
+        // In use; the next one may be free.
+      }
     }
+    throw new IllegalStateException("no free port on the loopback interface");
   }
 
   /** Waits until the host reports that it is ready; throws if the process exits before. */
