Copy bill records to the only peer although it was slow

Cause: a peer that did not acknowledge a copy within 100 ms was passed over for 5 s.

Change: if every peer is avoided, the requests go on with one copy as before, but the records are sent to the best avoided peer too. An acknowledgement in time ends the avoidance; a second late one does not prolong it.

Ruled out: a longer time for acknowledgements, which every request at a slow peer would wait for; no avoidance of the only peer, for the same reason.

--- a/server/src/main/java/org/clementinequay/server/billing/BillReplicator.java
+++ b/server/src/main/java/org/clementinequay/server/billing/BillReplicator.java
@@ -3,7 +3,6 @@
 import com.google.common.flogger.FluentLogger;
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -49,7 +48,10 @@
    */
   public static final Duration COPY_TIMEOUT = Duration.ofMillis(200);
 
-  /** Time for which a peer that did not acknowledge in time is not selected again. */
+  /**
+   * Time for which a peer that did not acknowledge in time is avoided, unless it acknowledges a
+   * copy sooner.
+   */
   public static final Duration PEER_BACKOFF = Duration.ofSeconds(5);
 
   static final int QUEUE_CAPACITY = 16_384;
@@ -67,8 +69,9 @@
   private final Set<Incarnation> lostPeers = ConcurrentHashMap.newKeySet();
   private final Thread thread = new Thread(this::run, "bill-replicator");
 
+  private final Map<Incarnation, Long> avoidedUntilNanos = new ConcurrentHashMap<>();
+
   // Accessed only by the replicator thread.
-  private final Map<Incarnation, Long> avoidedUntilNanos = new HashMap<>();
   private final Set<Incarnation> usedHolders = new HashSet<>();
   private long lastCopyId;
   private long lastResendNanos;
@@ -206,10 +209,25 @@
         holderSelector.select(
             network.peers(), peer -> triedHolders.contains(peer) || isAvoided(peer));
     if (holder.isEmpty()) {
+      sendToAvoidedPeer(queuedRecords, triedHolders);
       releaseWithSingleCopy(queuedRecords);
       return;
     }
-    Incarnation to = holder.get().incarnation();
+    sendTo(holder.get().incarnation(), queuedRecords, triedHolders);
+  }
+
+  /**
+   * Sends records, whose requests do not wait for it, to a peer that was too slow before: a late
+   * second copy is better than none.
+   */
+  private void sendToAvoidedPeer(List<QueuedRecord> queuedRecords, Set<Incarnation> triedHolders) {
+    holderSelector
+        .select(network.peers(), triedHolders::contains)
+        .ifPresent(peer -> sendTo(peer.incarnation(), queuedRecords, triedHolders));
+  }
+
+  private void sendTo(
+      Incarnation to, List<QueuedRecord> queuedRecords, Set<Incarnation> triedHolders) {
     lastCopyId++;
     PendingCopy copy = new PendingCopy(queuedRecords, to, clock.nanoTime(), triedHolders);
     // Registered before sending, because the acknowledgement may arrive immediately.
@@ -232,7 +250,9 @@
       PendingCopy copy = entry.getValue();
       if (now - copy.sentNanos() >= ACK_TIMEOUT.toNanos()
           && pendingCopies.remove(entry.getKey(), copy)) {
-        avoidedUntilNanos.put(copy.holder(), now + PEER_BACKOFF.toNanos());
+        if (!isAvoided(copy.holder())) {
+          avoidedUntilNanos.put(copy.holder(), now + PEER_BACKOFF.toNanos());
+        }
         retry(copy);
       }
     }
@@ -304,6 +324,7 @@
         PendingCopy copy = pendingCopies.get(ack.copyId());
         boolean expected = copy != null && copy.holder().equals(from.incarnation());
         if (expected && pendingCopies.remove(ack.copyId(), copy)) {
+          avoidedUntilNanos.remove(copy.holder());
           copy.complete(CopyResult.COPIED);
           metrics.copied(copy.queuedRecords().size(), clock.nanoTime() - copy.sentNanos());
         }
--- a/server/src/test/java/org/clementinequay/server/billing/BillReplicationTest.java
+++ b/server/src/test/java/org/clementinequay/server/billing/BillReplicationTest.java
@@ -131,6 +131,25 @@
     assertEquals(sender.singleCopyCount, 1);
   }
 
+  /** Guards against records on one host only because the only peer was too slow once. */
+  @Test
+  public void onlyPeerGetsCopiesAfterALateAcknowledgement() {
+    FakePeers peers = new FakePeers();
+    FakePeers.Host sender = peers.addHost("a");
+    FakePeers.Host holder = peers.addHost("b");
+    peers.unresponsive.add(holder.id);
+    CompletableFuture<CopyResult> first = replicateRecord(sender);
+    advanceClockAndStep(peers, BillReplicator.ACK_TIMEOUT, sender);
+    assertEquals(first.join(), CopyResult.SINGLE_COPY);
+    CompletableFuture<CopyResult> second = replicateRecord(sender);
+    assertEquals(second.join(), CopyResult.SINGLE_COPY, "waits for a peer that is too slow");
+    peers.unresponsive.clear();
+    replicateRecord(sender);
+    assertEquals(holder.copies.size(), 1);
+    advanceClockAndStep(peers, BillReplicator.RESEND_INTERVAL, sender);
+    assertEquals(holder.copies.size(), 3);
+  }
+
   /** Guards against records that are not copied when a peer becomes linked. */
   @Test
   public void singleCopyRecordsAreCopiedWhenAPeerIsLinked() {
