Give long prompts engines of their own

Cause: a prompt of 12,000 tokens takes the slowest model half a second to read, and delays everything on that engine.

Change: from promptLaneEngines candidates on, PromptLanes sends prompts that an engine reads for longer than a quarter of the objective for pauses to one part of the engines, by a hash that all hosts share, and all others to the rest. The parts follow the recent work.

--- a/bench/src/main/java/org/clementinequay/bench/policy/EngineFleet.java
+++ b/bench/src/main/java/org/clementinequay/bench/policy/EngineFleet.java
@@ -30,6 +30,7 @@
   private static final int FIRST_EVENT_TOKENS = 7;
   static final int MEMORY_TOKENS = 584_111;
   private static final double LARGE_MODEL_SHARE = 0.35;
+  private static final double SHORT_READ_MILLIS = 300;
 
   /** Kinds of requests. */
   private enum Kind {
@@ -95,8 +96,12 @@
     default void tick(double nowMillis) {}
   }
 
-  /** Figures of one run. */
-  record Result(double p50, double p99, double lateShare, double rereadShare) {}
+  /**
+   * Figures of one run; times to the first event in milliseconds.
+   *
+   * @param shortP99 of the prompts that an engine reads within {@value #SHORT_READ_MILLIS} ms
+   */
+  record Result(double p50, double p99, double shortP99, double lateShare, double rereadShare) {}
 
   private record Event(double at, long number, Runnable action) {}
 
@@ -110,6 +115,7 @@
           (a, b) -> a.at == b.at ? Long.compare(a.number, b.number) : Double.compare(a.at, b.at));
   private final Map<String, SimulatedEngine> engines = new LinkedHashMap<>();
   private final List<Double> firstEvents = new ArrayList<>();
+  private final List<Double> shortFirstEvents = new ArrayList<>();
   private final Set<String> readSomewhere = new HashSet<>();
   private long number;
   private int late;
@@ -144,9 +150,11 @@
       engine.queue.forEach(this::countUnfinished);
     }
     firstEvents.sort(null);
+    shortFirstEvents.sort(null);
     return new Result(
-        quantile(0.5),
-        quantile(0.99),
+        quantile(firstEvents, 0.5),
+        quantile(firstEvents, 0.99),
+        quantile(shortFirstEvents, 0.99),
         late / (double) firstEvents.size(),
         readAgain / (double) Math.max(1, readAgain + kept));
   }
@@ -161,8 +169,8 @@
         / simulated.speed;
   }
 
-  private double quantile(double q) {
-    return firstEvents.get((int) (q * (firstEvents.size() - 1)));
+  private static double quantile(List<Double> sorted, double q) {
+    return sorted.get((int) (q * (sorted.size() - 1)));
   }
 
   private void countUnfinished(Request request) {
@@ -175,6 +183,9 @@
     if (request.arrivedMillis >= WARM_UP_MILLIS) {
       double millis = now - request.arrivedMillis;
       firstEvents.add(millis);
+      if (request.work.prefillMillis(0) < SHORT_READ_MILLIS) {
+        shortFirstEvents.add(millis);
+      }
       late += millis > request.kind.objectiveMillis ? 1 : 0;
     }
   }
--- a/bench/src/main/java/org/clementinequay/bench/policy/FleetHosts.java
+++ b/bench/src/main/java/org/clementinequay/bench/policy/FleetHosts.java
@@ -9,19 +9,24 @@
 import java.util.random.RandomGenerator;
 import org.clementinequay.core.placement.EngineLoadExchange;
 import org.clementinequay.core.placement.EngineSelector;
+import org.clementinequay.core.placement.PromptLanes;
 
 /** Hosts in three failure domains, with a selector each. */
 final class FleetHosts implements EngineFleet.Router {
   private static final int DOMAINS = 3;
   private static final double REPORT_MILLIS = 1000;
 
+  /** Objective for pauses in the streams, in milliseconds. */
+  private static final long GAP_MILLIS = 1200;
+
   /** Rules for the choice of an engine. */
   enum Policy {
     OWN("own sums (rule for few hosts)"),
     RANDOM("random"),
     TWO_CHOICES("two choices, own counts"),
     ORACLE("oracle"),
-    SHARED("reported sums, bounded loads");
+    SHARED("reported sums, bounded loads"),
+    LANES("own sums, long prompts on engines of their own");
 
     final String label;
 
@@ -33,6 +38,7 @@
   private final Policy policy;
   private final double lossShare;
   private final EngineSelector[] selectors;
+  private final PromptLanes[] lanes;
   private final RandomGenerator random = new SplittableRandom(3);
   private EngineFleet fleet;
   private double lastReport;
@@ -42,8 +48,10 @@
     this.policy = policy;
     this.lossShare = lossShare;
     selectors = new EngineSelector[hosts];
+    lanes = new PromptLanes[hosts];
     for (int i = 0; i < hosts; i++) {
       selectors[i] = new EngineSelector(new SplittableRandom(i));
+      lanes[i] = new PromptLanes(policy == Policy.LANES ? 1 : 0);
       selectors[i].shareLoad(policy == Policy.SHARED ? hosts - 1 : 0);
     }
   }
@@ -60,13 +68,16 @@
           case TWO_CHOICES -> Comparator.comparingInt(own::outstanding);
           default -> Comparator.comparingDouble(e -> fleet.remainingMillis(e, request));
         };
-    if (policy != Policy.OWN && policy != Policy.SHARED) {
+    if (policy == Policy.LANES) {
+      candidates = lanes[request.host].assign("", candidates, request.work, GAP_MILLIS).engines();
+    } else if (policy != Policy.OWN && policy != Policy.SHARED) {
       int choices = policy == Policy.ORACLE ? candidates.size() : 2;
       candidates = List.of(candidates.stream().limit(choices).min(order).orElseThrow());
     }
     EngineSelector.Choice choice =
         own.choose(candidates, request.work, request.prefix, (long) (nowMillis * 1e6));
     own.recordStart(choice, request.prefix, EngineFleet.MEMORY_TOKENS);
+    lanes[request.host].record("", request.work, GAP_MILLIS);
     return choice;
   }
 
--- a/bench/src/test/java/org/clementinequay/bench/policy/EngineBenchTest.java
+++ b/bench/src/test/java/org/clementinequay/bench/policy/EngineBenchTest.java
@@ -2,6 +2,8 @@
 
 import static org.clementinequay.bench.policy.EngineBench.EVEN;
 import static org.clementinequay.bench.policy.EngineBench.UNEVEN;
+import static org.clementinequay.bench.policy.FleetHosts.Policy.LANES;
+import static org.clementinequay.bench.policy.FleetHosts.Policy.OWN;
 import static org.clementinequay.bench.policy.FleetHosts.Policy.SHARED;
 import static org.clementinequay.bench.policy.FleetHosts.Policy.TWO_CHOICES;
 import static org.testng.Assert.assertTrue;
@@ -43,6 +45,15 @@
     assertLate(FleetHosts.play(SHARED, hosts, speeds, 0.7, 0, HOT_SHARE), MAX_LATE_SHARE);
   }
 
+  // Replays long prompts for a slow model beside short answers, which wait for them on any engine.
+  @Test(dataProvider = "fleets")
+  public void shortPromptsWaitLessOnEnginesOfTheirOwn(int hosts, double[] speeds) {
+    EngineFleet.Result own = FleetHosts.play(OWN, hosts, speeds, 0.85, 0, 0);
+    EngineFleet.Result lanes = FleetHosts.play(LANES, hosts, speeds, 0.85, 0, 0);
+    assertTrue(lanes.shortP99() < own.shortP99(), own + " " + lanes);
+    assertLate(lanes, Math.max(MAX_LATE_SHARE, own.lateShare()));
+  }
+
   @Test
   public void lostReportsCostLittle() {
     assertLate(FleetHosts.play(SHARED, 111, UNEVEN, 0.95, 0.5, 0), MAX_LATE_SHARE);
--- a/core/src/main/java/org/clementinequay/core/forward/ForwardingConfiguration.java
+++ b/core/src/main/java/org/clementinequay/core/forward/ForwardingConfiguration.java
@@ -55,6 +55,11 @@
     return Optional.ofNullable(services.get(name));
   }
 
+  /** Returns all services. */
+  public List<ServiceProfile> services() {
+    return List.copyOf(services.values());
+  }
+
   /** Returns whether requests need an API key on routes without anonymous access. */
   public boolean requiresApiKeys() {
     return accountsByKey.isPresent();
--- a/server/src/main/java/org/clementinequay/server/gateway/AttemptPlacement.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/AttemptPlacement.java
@@ -13,6 +13,7 @@
 import org.clementinequay.core.forward.UpstreamInstance;
 import org.clementinequay.core.placement.EngineSelector;
 import org.clementinequay.core.placement.EngineWork;
+import org.clementinequay.core.placement.PromptLanes;
 import org.clementinequay.core.placement.PromptPrefix;
 import org.clementinequay.core.rollout.TrafficShift;
 
@@ -28,6 +29,7 @@
   private final AllowedRegions regions;
   private int modelIndex;
   private boolean failedOnTarget;
+  private PromptLanes.Lane lane = PromptLanes.Lane.ANY;
 
   /** Selected upstream with the estimates on which the selection is based. */
   record Selection(UpstreamInstance instance, EngineSelector.Choice choice) {}
@@ -101,6 +103,14 @@
   /** Records that the request is sent to the engine of a choice. */
   void recordStart(EngineSelector.Choice choice) {
     gateway.engineSelector.recordStart(choice, prefix(), engineMemoryTokens());
+    if (engineProfile().isPresent()) {
+      gateway.promptLanes.record(service, engineWork(weight()), route.eventGapObjectiveMillis());
+    }
+  }
+
+  /** Returns the lane of the engines from which the last one was selected. */
+  PromptLanes.Lane lane() {
+    return lane;
   }
 
   /** Returns the estimated work of the request in engine milliseconds, if nothing is cached. */
@@ -267,8 +277,19 @@
   private EngineSelector.Choice choose(List<UpstreamInstance> candidates) {
     List<String> ids = new ArrayList<>(candidates.size());
     candidates.forEach(candidate -> ids.add(candidate.id()));
+    EngineWork work = engineWork(weight());
     return gateway.engineSelector.choose(
-        ids, engineWork(weight()), prefix(), gateway.clock.nanoTime());
+        engineProfile().isPresent() ? inLane(ids, work) : ids,
+        work,
+        prefix(),
+        gateway.clock.nanoTime());
+  }
+
+  private List<String> inLane(List<String> engines, EngineWork work) {
+    PromptLanes.Assignment assignment =
+        gateway.promptLanes.assign(service, engines, work, route.eventGapObjectiveMillis());
+    lane = assignment.lane();
+    return assignment.engines();
   }
 
   private EngineWork engineWork(double weight) {
--- a/server/src/main/java/org/clementinequay/server/gateway/Gateway.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/Gateway.java
@@ -32,6 +32,7 @@
 import org.clementinequay.core.forward.UpstreamInstance;
 import org.clementinequay.core.placement.EngineSelector;
 import org.clementinequay.core.placement.OutputLengths;
+import org.clementinequay.core.placement.PromptLanes;
 import org.clementinequay.core.rollout.ShiftOrder;
 import org.clementinequay.core.rollout.SlowAnswerDetector;
 import org.clementinequay.core.rollout.TrafficShift;
@@ -71,6 +72,9 @@
   final Set<RequestForwarder> activeRequests = ConcurrentHashMap.newKeySet();
   final EngineSelector engineSelector;
 
+  /** Engines of their own for long prompts; off unless the settings say so. */
+  final PromptLanes promptLanes;
+
   final OutputLengths outputLengths = new OutputLengths();
 
   /** Whether cached beginnings of prompts count when an engine is chosen. */
@@ -128,6 +132,7 @@
     this.observer = Objects.requireNonNull(builder.observer);
     this.random = Objects.requireNonNull(builder.random);
     this.engineSelector = new EngineSelector(random);
+    this.promptLanes = new PromptLanes(builder.promptLaneEngines);
     this.promptCache = builder.promptCache;
     this.budgetFactory = Objects.requireNonNull(builder.budgetFactory);
     this.sessions = new SessionVersions(builder.sessionIdleTime);
@@ -474,6 +479,7 @@
     private int maxWaitingRequests;
     private IntSupplier listedHosts = () -> 1;
     private boolean promptCache = true;
+    private int promptLaneEngines;
 
     private Builder() {}
 
@@ -564,6 +570,15 @@
       return this;
     }
 
+    /**
+     * Sets the number of engines of a service from which on long prompts have engines of their own;
+     * by default never.
+     */
+    public Builder promptLaneEngines(int value) {
+      promptLaneEngines = value;
+      return this;
+    }
+
     public Gateway build() {
       return new Gateway(this);
     }
--- a/server/src/main/java/org/clementinequay/server/gateway/GatewayGauges.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/GatewayGauges.java
@@ -1,6 +1,7 @@
 package org.clementinequay.server.gateway;
 
 import java.util.Locale;
+import org.clementinequay.core.forward.ServiceProfile;
 import org.clementinequay.core.ingress.IngressBudget;
 import org.clementinequay.core.ingress.TurnAway;
 import org.clementinequay.core.placement.EngineSelector;
@@ -40,6 +41,7 @@
     metrics.registerGauge(
         "clementinequay_engine_load_hosts_heard",
         () -> gateway.engineSelector.exchange().heardHosts(gateway.clock.nanoTime()));
+    metrics.registerGauge("clementinequay_long_prompt_engines", () -> longPromptEngines(gateway));
     for (EngineSelector.Basis basis : EngineSelector.Basis.values()) {
       metrics.registerGauge(
           "clementinequay_placements_by_" + basis.name().toLowerCase(Locale.ROOT),
@@ -47,6 +49,15 @@
     }
   }
 
+  private static int longPromptEngines(Gateway gateway) {
+    return gateway.configuration().stream()
+        .flatMap(configuration -> configuration.services().stream())
+        .filter(service -> service.engine().isPresent())
+        .map(ServiceProfile::name)
+        .mapToInt(name -> gateway.promptLanes.longEngines(name, gateway.available(name).size()))
+        .sum();
+  }
+
   /** Registers what callers hold of a host and how many were turned away. */
   static void registerCallers(RouterMetrics metrics, IngressBudget callers, IngressTask ingress) {
     metrics.registerGauge("clementinequay_caller_bytes", callers::bytes);
--- a/server/src/main/java/org/clementinequay/server/gateway/GatewayHost.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/GatewayHost.java
@@ -111,6 +111,7 @@
             .maxWaitingRequests(settings.waitingRequests())
             .reachability(reachability, this::listedHosts)
             .promptCache(settings.promptCache())
+            .promptLaneEngines(settings.enginesForPromptLanes())
             .build();
     this.handler = new GatewayHandler(gateway);
     this.readinessHandler = new ReadinessHandler(gateway, metrics::scrape);
--- a/server/src/main/java/org/clementinequay/server/gateway/GatewaySettings.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/GatewaySettings.java
@@ -47,6 +47,8 @@
  *     it is absent
  * @param accountShareHosts number of listed hosts from which client accounts have shares of the
  *     engines; never if it is absent or no whole number
+ * @param promptLaneEngines number of engines of a service from which long prompts have engines of
+ *     their own; never if it is absent or no whole number
  * @param maxCallerBytes bytes that the host holds for callers; by the heap if it is absent
  * @param maxConnections open connections of callers; by the descriptors if it is absent
  * @param maxConnectionsPerAddress open connections of one address of callers; {@code
@@ -77,6 +79,7 @@
     Double engineLoadHosts,
     Boolean promptCache,
     JsonNode accountShareHosts,
+    JsonNode promptLaneEngines,
     JsonNode maxCallerBytes,
     JsonNode maxConnections,
     JsonNode maxConnectionsPerAddress) {
@@ -174,18 +177,26 @@
    * A value that makes no sense is logged and read as 0.
    */
   public int listedHostsForShares() {
-    if (accountShareHosts == null || accountShareHosts.isNull()) {
+    return countOrZero("accountShareHosts", accountShareHosts, "accounts have no shares");
+  }
+
+  /**
+   * Returns the number of engines of a service from which long prompts have engines of their own; 0
+   * if they never do. A value that makes no sense is logged and read as 0.
+   */
+  public int enginesForPromptLanes() {
+    return countOrZero("promptLaneEngines", promptLaneEngines, "long prompts go to all engines");
+  }
+
+  private static int countOrZero(String name, JsonNode value, String consequence) {
+    if (value == null || value.isNull()) {
       return 0;
     }
-    if (!accountShareHosts.isIntegralNumber()
-        || !accountShareHosts.canConvertToInt()
-        || accountShareHosts.intValue() < 0) {
-      logger.atWarning().log(
-          "accountShareHosts: is no whole number from 0, accounts have no shares: %s",
-          accountShareHosts);
+    if (!value.isIntegralNumber() || !value.canConvertToInt() || value.intValue() < 0) {
+      logger.atWarning().log("%s: is no whole number from 0, %s: %s", name, consequence, value);
       return 0;
     }
-    return accountShareHosts.intValue();
+    return value.intValue();
   }
 
   private static void requirePresent(List<String> findings, String field, String value) {
--- a/server/src/main/java/org/clementinequay/server/gateway/RequestForwarder.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/RequestForwarder.java
@@ -302,6 +302,8 @@
         Math.round(choice.workMillis()),
         "chosen_by",
         choice.basis().name().toLowerCase(Locale.ROOT),
+        "lane",
+        placement.lane().name().toLowerCase(Locale.ROOT),
         "left_ms",
         remaining,
         "list_age_ms",
