Take the bills of a killed host off the list of known failures

Change: billsOfAKilledHostAreFlushedByItsPeer runs with the other tests again; the check is unchanged.

--- a/bench/src/test/java/org/clementinequay/bench/path/ProcessFaultsTest.java
+++ b/bench/src/test/java/org/clementinequay/bench/path/ProcessFaultsTest.java
@@ -78,7 +78,7 @@
     }
 
     /** Guards against lost or duplicate bills when a host is killed before it sealed them. */
-    @Test(groups = "known-red")
+    @Test
     public void billsOfAKilledHostAreFlushedByItsPeer() throws Exception {
       assertTrue(waitUntil(() -> fetchStatus(0).path("peers").size() == 1), "hosts are linked");
       int requests = 20;
