Check a manifest before it is sent, and show what a document changes

Cause: a manifest with a route that another one hides, a service that nothing reaches or limits that contradict each other is accepted by the store and shows its effect only in traffic; what it changes in the version in force can be seen only after it was sent.

Nothing of it runs in a host that forwards requests.

Ruled out: a warning about several attempts where a request runs at most once, as a call that was rejected as not run may be sent again.

--- a/core/src/main/java/org/clementinequay/core/config/ConfigurationDiff.java
+++ b/core/src/main/java/org/clementinequay/core/config/ConfigurationDiff.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.stream.Collectors;
 
 /**
@@ -46,8 +47,13 @@
     }
   }
 
-  /** Returns the changes from {@code before} to {@code after}, in document order. */
-  public static List<Change> between(RouterConfiguration before, RouterConfiguration after) {
+  /**
+   * Returns the changes from {@code before} to {@code after}, in document order.
+   *
+   * @param before a configuration; the items of its lists of records have names
+   * @param after a configuration of the same type
+   */
+  public static <T extends Record> List<Change> between(T before, T after) {
     List<Change> changes = new ArrayList<>();
     compare("", before, after, changes);
     return changes;
@@ -137,6 +143,12 @@
     if (value instanceof UpstreamKind kind) {
       return kind.label();
     }
+    if (value instanceof Optional<?> optional) {
+      return optional.map(ConfigurationDiff::format).orElse("none");
+    }
+    if (value instanceof OptionalInt optional) {
+      return optional.isPresent() ? Integer.toString(optional.getAsInt()) : "none";
+    }
     if (value instanceof List<?> list) {
       return list.stream()
           .map(ConfigurationDiff::format)
--- a/core/src/main/java/org/clementinequay/core/forward/ForwardingConfiguration.java
+++ b/core/src/main/java/org/clementinequay/core/forward/ForwardingConfiguration.java
@@ -1,6 +1,7 @@
 package org.clementinequay.core.forward;
 
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -11,6 +12,7 @@
   private final long version;
   private final RouteTable routes;
   private final Map<String, ServiceProfile> services = new HashMap<>();
+  private final List<AccountKeys> accounts;
   private final Optional<Map<String, AccountKeys>> accountsByKey;
   private final CallerLimits limits;
 
@@ -29,6 +31,7 @@
     this.version = version;
     this.routes = routes;
     services.forEach(service -> this.services.put(service.name(), service));
+    this.accounts = accounts.map(List::copyOf).orElse(List.of());
     this.accountsByKey = accounts.map(ForwardingConfiguration::indexByKey);
     this.limits = limits;
   }
@@ -55,9 +58,9 @@
     return Optional.ofNullable(services.get(name));
   }
 
-  /** Returns all services. */
+  /** Returns all services, ordered by name. */
   public List<ServiceProfile> services() {
-    return List.copyOf(services.values());
+    return services.values().stream().sorted(Comparator.comparing(ServiceProfile::name)).toList();
   }
 
   /** Returns whether requests need an API key on routes without anonymous access. */
@@ -65,6 +68,11 @@
     return accountsByKey.isPresent();
   }
 
+  /** Returns all client accounts; empty if no keys are required. */
+  public List<AccountKeys> accounts() {
+    return accounts;
+  }
+
   /** Returns the account of an API key; empty if the key is unknown or no keys are required. */
   public Optional<AccountKeys> account(String apiKey) {
     return accountsByKey.map(accounts -> accounts.get(apiKey));
--- a/server/src/main/java/org/clementinequay/server/cli/Command.java
+++ b/server/src/main/java/org/clementinequay/server/cli/Command.java
@@ -4,7 +4,7 @@
 import joptsimple.OptionSet;
 
 /** A subcommand of the command line. */
-interface Command {
+public interface Command {
   /** Returns the first command-line argument, which selects this command. */
   String name();
 
--- a/server/src/main/java/org/clementinequay/server/cli/CommandLine.java
+++ b/server/src/main/java/org/clementinequay/server/cli/CommandLine.java
@@ -1,6 +1,7 @@
 package org.clementinequay.server.cli;
 
 import java.io.IOException;
+import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -21,10 +22,12 @@
    * Creates the command line with all commands.
    *
    * @param launcher runs the entry host for the {@code entry} command
+   * @param more commands of the program that embeds this command line
    */
-  public CommandLine(Terminal terminal, EntryLauncher launcher) {
+  public CommandLine(Terminal terminal, EntryLauncher launcher, Command... more) {
     this.terminal = terminal;
-    List<Command> all =
+    List<Command> all = new ArrayList<>();
+    all.addAll(
         List.of(
             new EntryCommand(launcher),
             new CheckCommand(),
@@ -36,7 +39,8 @@
             new BillCommand(),
             new PasswordCommand(),
             new VersionCommand(),
-            new HelpCommand(commands));
+            new HelpCommand(commands)));
+    all.addAll(List.of(more));
     all.forEach(command -> commands.put(command.name(), command));
   }
 
--- a/server/src/main/java/org/clementinequay/server/cli/OutputFormat.java
+++ b/server/src/main/java/org/clementinequay/server/cli/OutputFormat.java
@@ -5,12 +5,12 @@
 import joptsimple.OptionSpec;
 
 /** Output format of a command's result. */
-enum OutputFormat {
+public enum OutputFormat {
   TEXT,
   JSON;
 
   /** Declares the option {@code --output} of a command. */
-  static OptionSpec<String> declare(OptionParser parser) {
+  public static OptionSpec<String> declare(OptionParser parser) {
     return parser
         .accepts("output", "output format: text or json")
         .withRequiredArg()
@@ -22,7 +22,8 @@
    *
    * @throws CommandException if the value is neither {@code text} nor {@code json}
    */
-  static OutputFormat of(OptionSet options, OptionSpec<String> spec) throws CommandException {
+  public static OutputFormat of(OptionSet options, OptionSpec<String> spec)
+      throws CommandException {
     return switch (options.valueOf(spec)) {
       case "text" -> TEXT;
       case "json" -> JSON;
--- a/server/src/main/java/org/clementinequay/server/cli/TextFiles.java
+++ b/server/src/main/java/org/clementinequay/server/cli/TextFiles.java
@@ -7,7 +7,7 @@
 import java.nio.file.Path;
 
 /** Reads text files given on the command line. */
-final class TextFiles {
+public final class TextFiles {
   private TextFiles() {}
 
   /**
@@ -15,7 +15,7 @@
    *
    * @throws CommandException if the file cannot be read or is not valid UTF-8
    */
-  static String read(String path) throws CommandException {
+  public static String read(String path) throws CommandException {
     try {
       return Files.readString(Path.of(path));
     } catch (CharacterCodingException e) {
--- a/server/src/test/java/org/clementinequay/server/cli/CommandLineTest.java
+++ b/server/src/test/java/org/clementinequay/server/cli/CommandLineTest.java
@@ -133,6 +133,19 @@
       assertEquals(run("check"), ExitCode.USAGE);
     }
 
+    /** Guards against a document whose changes are seen only after it was sent. */
+    @Test
+    public void checkPrintsTheChangesToAnotherDocument() throws Exception {
+      String before = file("before.json", DOCUMENT);
+      String after = file("after.json", DOCUMENT.replace("\"pnw\"", "\"east\""));
+      assertEquals(run("check", before, "--against", before), ExitCode.DONE);
+      assertEquals(out(), "");
+      assertEquals(run("check", after, "--against", before), ExitCode.DONE);
+      assertTrue(out().contains("pnw -> east"), out());
+      String bad = file("bad.json", DOCUMENT.replace("\"live\"", "\"alive\""));
+      assertEquals(run("check", after, "--against", bad), ExitCode.USAGE);
+    }
+
     /** Guards against a host that starts with invalid settings. */
     @Test
     public void settingsAreCheckedBeforeTheHostStarts() throws Exception {
