Use no prompt lanes while versions are compared

Change: the engines of a service have no lanes while its traffic moves.

Ruled out: the shared readings of the store, which the trial did not have; the prompt cache, as the run without it shows the same.

Result: PromptLaneTest.whileVersionsAreComparedEveryEngineTakesEveryPrompt fails without the change.

--- a/server/src/main/java/org/clementinequay/server/gateway/AttemptPlacement.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/AttemptPlacement.java
@@ -278,13 +278,22 @@
     List<String> ids = new ArrayList<>(candidates.size());
     candidates.forEach(candidate -> ids.add(candidate.id()));
     EngineWork work = engineWork(weight());
+    lane = PromptLanes.Lane.ANY;
     return gateway.engineSelector.choose(
-        engineProfile().isPresent() ? inLane(ids, work) : ids,
+        engineProfile().isPresent() && !comparesVersions() ? inLane(ids, work) : ids,
         work,
         prefix(),
         gateway.clock.nanoTime());
   }
 
+  /**
+   * Returns whether traffic moves between versions of the service. Their answers are compared then,
+   * so the choice of an engine must not depend on how many engines a version has.
+   */
+  boolean comparesVersions() {
+    return gateway.shift(service).filter(shift -> !shift.state().ended()).isPresent();
+  }
+
   private List<String> inLane(List<String> engines, EngineWork work) {
     PromptLanes.Assignment assignment =
         gateway.promptLanes.assign(service, engines, work, route.eventGapObjectiveMillis());
--- a/server/src/main/java/org/clementinequay/server/gateway/WaitStep.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/WaitStep.java
@@ -99,7 +99,7 @@
     return gateway.waiting.enabled()
         && !forwarder.committed
         // Whether another version may take the request is decided without regard to room.
-        && gateway.shift(forwarder.service).filter(shift -> !shift.state().ended()).isEmpty();
+        && !forwarder.placement.comparesVersions();
   }
 
   private boolean hasOther() {
--- a/server/src/test/java/org/clementinequay/server/gateway/PromptLaneTest.java
+++ b/server/src/test/java/org/clementinequay/server/gateway/PromptLaneTest.java
@@ -16,6 +16,7 @@
 import org.clementinequay.core.forward.RequestKind;
 import org.clementinequay.core.forward.RouteTable;
 import org.clementinequay.core.forward.ServiceProfile;
+import org.clementinequay.core.rollout.ShiftOrder;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -70,6 +71,15 @@
     assertEquals(engines(fixture(0), 500).size(), ENGINES);
   }
 
+  // Replays a good version that was rolled back: the lanes of its engines were not those of the old
+  // one.
+  @Test
+  public void whileVersionsAreComparedEveryEngineTakesEveryPrompt() {
+    GatewayFixture fixture = fixture(12);
+    fixture.gateway.applyOrder(new ShiftOrder("s", "v2", Duration.ofSeconds(24), 1));
+    assertEquals(engines(fixture, 20_000).size(), ENGINES);
+  }
+
   @Test
   public void nothingIsInBothLanesWhileTheDemandStays() {
     GatewayFixture fixture = fixture(12);
