--- a/server/src/main/java/org/clementinequay/server/gateway/InstanceListTask.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/InstanceListTask.java
@@ -88,6 +88,7 @@
   private synchronized void confirm(UpstreamListing.Update update, long storeMillis) {
     long readNanos = storeClock.toHostNanos(storeMillis, gateway.clock.nanoTime());
     if (storeMillis > 0 && listing.confirm(update) && schedule.recordConfirmation(readNanos)) {
+      gateway.updateInstances(listing.instances());
       links.broadcast(
           new PeerMessage.UpstreamReading(listing.unchanged(), storeMillis), role::isNear);
     }
--- a/server/src/test/java/org/clementinequay/server/gateway/StoreRelayTest.java
+++ b/server/src/test/java/org/clementinequay/server/gateway/StoreRelayTest.java
@@ -125,6 +125,23 @@
       assertChangesArriveInTime();
     }
 
+    // Replays a hunted day (DRAIN): hosts whose list is only confirmed by other domains took the
+    // next difference for the first one after an outage of the store, and kept what was missing.
+    @Test
+    public void entryThatIsRemovedLeavesEveryHostInTime() {
+      long allowedMillis = 2000;
+      StoreRelayCluster calm = new StoreRelayCluster(88, 3, allowedMillis, allowedMillis);
+      calm.run(10_000);
+      long now = calm.clock.nanoTime();
+      calm.hosts.values().forEach(h -> h.gateway.engineSelector.recordReceived("u7", now));
+      calm.upstreams.remove("u7");
+      calm.revision++;
+      long gone =
+          calm.runUntil(
+              () -> calm.hosts.values().stream().allMatch(host -> host.knowsLeaving("u7")), 10_000);
+      assertTrue(gone < allowedMillis, "upstream gone after " + gone + " ms");
+    }
+
     // Replays readers that are frozen, while the links to them still seem to be open.
     @Test
     public void reachEveryHostWhileTheReadersAreFrozen() {
