--- a/core/src/main/java/org/clementinequay/core/placement/PromptLanes.java
+++ b/core/src/main/java/org/clementinequay/core/placement/PromptLanes.java
@@ -62,7 +62,7 @@
 
   /** Lane of a request. */
   public enum Lane {
-    /** The service has too few engines for lanes. */
+    /** Every engine: the service has no lanes now. */
     ANY {
       @Override
       List<String> engines(List<String> ordered, int longEngines) {
