Charge callers for what decoding their heads takes

Callers saw closed connections and then refused ones: the host ended with an OutOfMemoryError. A head of 16 KB whose prompt has 3,900 short parts takes some 400 KB once it is decoded, and the connection options and the request target are copied as well.

A complete head now takes an estimate of what decoding adds, before it is decoded; without room it is refused with 503, which promises that it has not run.

--- a/core/src/main/java/org/clementinequay/core/ingress/IngressBudget.java
+++ b/core/src/main/java/org/clementinequay/core/ingress/IngressBudget.java
@@ -137,6 +137,19 @@
     run(share);
   }
 
+  synchronized boolean takeDecodedHead(IngressShare share, long moreBytes) {
+    if (share.closed) {
+      return false;
+    }
+    boolean hasRoom = fits(share, moreBytes) || displaceLargest(share, moreBytes);
+    if (hasRoom) {
+      add(share, moreBytes);
+    } else {
+      recordTurnedAway(share, TurnAway.MEMORY);
+    }
+    return hasRoom;
+  }
+
   synchronized void endBody(IngressShare share) {
     run(share);
   }
@@ -177,21 +190,24 @@
 
   /** Takes bytes at once; if they do not fit, the largest holder gives way to a small request. */
   private boolean takeOrDisplace(IngressShare share, long moreBytes) {
-    if (!fits(share, moreBytes)) {
-      IngressShare largest =
-          shares.stream()
-              .filter(other -> other.phase.holdsForSlowCallers() && !other.turnedAway)
-              .max(Comparator.comparingLong(other -> other.bytes))
-              .filter(other -> other.bytes > share.bytes + moreBytes)
-              .filter(other -> mayDisplace(share, moreBytes))
-              .orElse(share);
-      turnAway(largest, TurnAway.MEMORY);
-      if (largest == share) {
-        return false;
-      }
+    boolean hasRoom = fits(share, moreBytes) || displaceLargest(share, moreBytes);
+    if (hasRoom) {
+      add(share, moreBytes);
+    } else {
+      turnAway(share, TurnAway.MEMORY);
     }
-    add(share, moreBytes);
-    return true;
+    return hasRoom;
+  }
+
+  private boolean displaceLargest(IngressShare share, long moreBytes) {
+    Optional<IngressShare> largest =
+        shares.stream()
+            .filter(other -> other.phase.holdsForSlowCallers() && !other.turnedAway)
+            .max(Comparator.comparingLong(other -> other.bytes))
+            .filter(other -> other.bytes > share.bytes + moreBytes)
+            .filter(other -> mayDisplace(share, moreBytes));
+    largest.ifPresent(other -> turnAway(other, TurnAway.MEMORY));
+    return largest.isPresent();
   }
 
   /** Room that is given back a little later is lent to small requests only, and not without end. */
@@ -300,12 +316,16 @@
     if (!share.turnedAway) {
       share.turnedAway = true;
       stopWaiting(share);
-      turnedAway.merge(limit, 1L, Long::sum);
-      lastAddresses.put(limit, share.address);
+      recordTurnedAway(share, limit);
       share.holder.turnAway(limit);
     }
   }
 
+  private void recordTurnedAway(IngressShare share, TurnAway limit) {
+    turnedAway.merge(limit, 1L, Long::sum);
+    lastAddresses.put(limit, share.address);
+  }
+
   /**
    * Advances the time, and turns away whom the limits no longer admit.
    *
--- a/core/src/main/java/org/clementinequay/core/ingress/IngressShare.java
+++ b/core/src/main/java/org/clementinequay/core/ingress/IngressShare.java
@@ -44,6 +44,15 @@
     budget.beginRequest(this, headBytes, fields);
   }
 
+  /**
+   * Takes bytes for what is decoded from a complete head, beside its text and fields.
+   *
+   * @return whether there is room; otherwise the head must not be decoded
+   */
+  public boolean takeDecodedHead(long moreBytes) {
+    return budget.takeDecodedHead(this, moreBytes);
+  }
+
   /**
    * Begins the receipt of a body.
    *
--- a/core/src/test/java/org/clementinequay/core/ingress/IngressBudgetTest.java
+++ b/core/src/test/java/org/clementinequay/core/ingress/IngressBudgetTest.java
@@ -225,6 +225,19 @@
       assertTrue(budget.bytes() - before >= 1000 * IngressBudget.FIELD_BYTES);
     }
 
+    // Guards against heads that take many times their size once they are decoded.
+    @Test
+    public void areRefusedIfThereIsNoRoomForWhatIsDecoded() {
+      Caller caller = open("a");
+      caller.share.beginRequest(16_000, 5);
+      assertTrue(caller.share.takeDecodedHead(400_000));
+      long held = budget.bytes();
+      assertFalse(caller.share.takeDecodedHead(BUDGET_BYTES));
+      assertEquals(budget.bytes(), held);
+      assertEquals(budget.turnedAway(TurnAway.MEMORY), 1);
+      assertEquals(caller.limit, Optional.empty());
+    }
+
     @Test
     public void thatTakeTheWholeBudgetGiveWayToSmallOnes() {
       Caller greedy = open("a");
--- a/server/src/main/java/org/clementinequay/server/gateway/GatewayProtocol.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/GatewayProtocol.java
@@ -8,6 +8,12 @@
  * formats and makes no routing decisions.
  */
 public interface GatewayProtocol {
+  /**
+   * Returns an estimate of the memory that the decoded head of a request takes beside its text and
+   * fields, in bytes, without decoding it.
+   */
+  long decodedBytes(Request request);
+
   /**
    * Decodes the head of a caller's request.
    *
--- a/server/src/main/java/org/clementinequay/server/gateway/RequestReceipt.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/RequestReceipt.java
@@ -71,6 +71,9 @@
   }
 
   private Optional<Refusal> judgeHead() {
+    if (!endPoint.share().takeDecodedHead(gateway.protocol.decodedBytes(request))) {
+      return Optional.of(new Refusal(HttpStatus.SERVICE_UNAVAILABLE_503, TurnAway.MEMORY.reason()));
+    }
     try {
       parsed = Optional.of(gateway.protocol.decode(request));
     } catch (MalformedRequestException e) {
--- a/server/src/test/java/org/clementinequay/server/gateway/GatewayFixture.java
+++ b/server/src/test/java/org/clementinequay/server/gateway/GatewayFixture.java
@@ -306,6 +306,11 @@
   }
 
   private static final class Protocol implements GatewayProtocol {
+    @Override
+    public long decodedBytes(Request request) {
+      throw new UnsupportedOperationException();
+    }
+
     @Override
     public GatewayRequest decode(Request request) {
       throw new UnsupportedOperationException();
