Keep no more parts of a prompt than the estimate of a cache has room for

The estimate of what an engine has cached was bounded at 1,024 parts, but always kept all parts of the latest prompt, of which a head has room for 3,900, for each engine. So callers decided how much a host held for it.

Only the first 1,024 parts of a prompt are recorded now: a part is of no use without those before it, so that the first ones are those that count.

PrefixCacheTest fails without the change to record(): 3,900 parts instead of 1,024. It needs the accessor size(), so that it does not compile on the code before as it stands.

--- a/core/src/main/java/org/clementinequay/core/placement/PrefixCache.java
+++ b/core/src/main/java/org/clementinequay/core/placement/PrefixCache.java
@@ -11,7 +11,7 @@
  */
 final class PrefixCache {
   /** Bound on the memory of a host; the cache of an engine holds a few hundred parts. */
-  private static final int MAX_PARTS = 1024;
+  static final int MAX_PARTS = 1024;
 
   private final Map<Long, Integer> tokensByKey = new LinkedHashMap<>(16, 0.75f, true);
   private long tokens;
@@ -30,7 +30,8 @@
   }
 
   /**
-   * Records that the engine reads a prompt, the parts of which stay at least until the next one.
+   * Records that the engine reads a prompt, the first parts of which stay at least until the next
+   * one.
    *
    * @param capacityTokens tokens that the engine caches; the least recently used parts yield
    */
@@ -38,19 +39,25 @@
     long[] keys = prefix.keys();
     List<PromptPrefix.Part> parts = prefix.parts();
     // A part is useless without those before it, so that the first one is used last.
-    for (int i = keys.length - 1; i >= 0; i--) {
+    int kept = Math.min(keys.length, MAX_PARTS);
+    for (int i = kept - 1; i >= 0; i--) {
       Integer previous = tokensByKey.put(keys[i], parts.get(i).tokens());
       tokens += parts.get(i).tokens() - (previous == null ? 0 : previous);
     }
     Iterator<Integer> eldest = tokensByKey.values().iterator();
     while (eldest.hasNext()
-        && tokensByKey.size() > keys.length
+        && tokensByKey.size() > kept
         && (tokens > capacityTokens || tokensByKey.size() > MAX_PARTS)) {
       tokens -= eldest.next();
       eldest.remove();
     }
   }
 
+  /** Returns the number of parts that are kept. */
+  int size() {
+    return tokensByKey.size();
+  }
+
   void clear() {
     tokensByKey.clear();
     tokens = 0;
