Bound the evidence of crashes by the parts of the prompts

Each crash of an engine is kept with the parts of the prompts that it served. The number of crashes was bounded, the number of parts was not, and callers choose them: 512 crashes of prompts with 3,900 parts each fill any heap. Attempts that wait for the probe held their parts as well, and naming a part copied the map of all suspects.

16,384 parts are kept over all crashes, and as many while attempts wait for the probe, half of that for one prompt. Beyond it the crash with the most parts is forgotten first, so that the evidence of ordinary prompts outlasts that of very long ones.

--- a/core/src/main/java/org/clementinequay/core/quarantine/CrashLedger.java
+++ b/core/src/main/java/org/clementinequay/core/quarantine/CrashLedger.java
@@ -1,10 +1,10 @@
 package org.clementinequay.core.quarantine;
 
 import java.time.Duration;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -36,6 +36,15 @@
   /** Maximum number of crashes that are kept. */
   static final int MAX_CRASHES = 512;
 
+  /**
+   * Maximum number of parts that are kept, summed over the crashes. Callers choose the parts of
+   * their prompts, of which a head has room for thousands.
+   */
+  static final int MAX_PARTS = 16_384;
+
+  /** Maximum number of parts of a prompt that counts as evidence. */
+  static final int MAX_PARTS_OF_PROMPT = MAX_PARTS / 2;
+
   /**
    * Share of the crashes under the most implicated part from which a more specific part is named
    * instead.
@@ -49,6 +58,7 @@
   private final Map<String, Crash> crashesByUpstream = new LinkedHashMap<>();
   private final Map<SharedPart, Suspect> suspects = new HashMap<>();
   private final Set<SharedPart> named = new HashSet<>();
+  private int parts;
 
   private static final class Crash {
     private final Set<SharedPart> parts = new HashSet<>();
@@ -82,19 +92,27 @@
     if (report.crashNanos() - crash.nanos < 0) {
       crash.nanos = report.crashNanos();
     }
-    List<SharedPart> parts =
+    if (report.partIds().size() > MAX_PARTS_OF_PROMPT) {
+      return false;
+    }
+    List<SharedPart> reported =
         report.partIds().stream().map(id -> new SharedPart(report.service(), id)).toList();
-    crash.parts.addAll(parts);
+    if (!makeRoom(crash, reported)) {
+      return false;
+    }
+    parts -= crash.parts.size();
+    crash.parts.addAll(reported);
+    parts += crash.parts.size();
     if (crash.explained) {
       return false;
     }
-    if (parts.stream().anyMatch(named::contains)) {
+    if (reported.stream().anyMatch(named::contains)) {
       explain(Set.of(report.upstream()));
       return true;
     }
     boolean isNews = false;
-    for (int i = 0; i < parts.size(); i++) {
-      Suspect suspect = suspects.computeIfAbsent(parts.get(i), part -> new Suspect());
+    for (int i = 0; i < reported.size(); i++) {
+      Suspect suspect = suspects.computeIfAbsent(reported.get(i), part -> new Suspect());
       suspect.position = Math.max(suspect.position, i);
       isNews |= !suspect.startNanosByUpstream.containsKey(report.upstream());
       suspect.startNanosByUpstream.merge(
@@ -103,19 +121,44 @@
     return isNews;
   }
 
+  /**
+   * Forgets the crashes with the most parts until further parts of a crash fit; returns false if
+   * they do not, because that crash has the most. Ordinary prompts have few parts, so that their
+   * evidence outlasts that of very long ones.
+   */
+  private boolean makeRoom(Crash crash, List<SharedPart> reported) {
+    int added = (int) reported.stream().distinct().filter(p -> !crash.parts.contains(p)).count();
+    while (parts + added > MAX_PARTS) {
+      Map.Entry<String, Crash> largest =
+          Collections.max(
+              crashesByUpstream.entrySet(),
+              Comparator.comparingInt(entry -> entry.getValue().parts.size()));
+      if (largest.getValue() == crash || largest.getValue().parts.size() < added) {
+        return false;
+      }
+      remove(Set.of(largest.getKey()));
+    }
+    return true;
+  }
+
   private void expire(long nowNanos) {
     Set<String> expired = new HashSet<>();
-    Iterator<Map.Entry<String, Crash>> oldestFirst = crashesByUpstream.entrySet().iterator();
-    while (oldestFirst.hasNext()) {
-      Map.Entry<String, Crash> oldest = oldestFirst.next();
+    for (Map.Entry<String, Crash> oldest : crashesByUpstream.entrySet()) {
       boolean old = nowNanos - oldest.getValue().nanos > EVIDENCE_TIME.toNanos();
-      if (!old && crashesByUpstream.size() < MAX_CRASHES) {
+      if (!old && crashesByUpstream.size() - expired.size() < MAX_CRASHES) {
         break;
       }
       expired.add(oldest.getKey());
-      oldestFirst.remove();
     }
-    forget(expired);
+    remove(expired);
+  }
+
+  /** Removes crashes and what they are evidence for. */
+  private void remove(Set<String> upstreams) {
+    for (String upstream : upstreams) {
+      parts -= crashesByUpstream.remove(upstream).parts.size();
+    }
+    forget(upstreams);
   }
 
   /** Removes crashes from the evidence against all parts. */
@@ -140,13 +183,23 @@
     return suspects.remove(part) != null;
   }
 
+  /** Returns the number of parts that are kept, summed over the crashes. */
+  synchronized int keptParts() {
+    return parts;
+  }
+
   /**
    * Names the part that explains the most crashes, if there is one that explains enough. Parts that
    * explain fewer wait for it to be confirmed.
    */
   public synchronized Optional<SharedPart> nameNext(long nowNanos) {
-    Map<SharedPart, Suspect> candidates = new HashMap<>(suspects);
-    candidates.values().removeIf(suspect -> !explainsEnough(suspect, nowNanos));
+    Map<SharedPart, Suspect> candidates = new HashMap<>();
+    suspects.forEach(
+        (part, suspect) -> {
+          if (explainsEnough(suspect, nowNanos)) {
+            candidates.put(part, suspect);
+          }
+        });
     int most = candidates.values().stream().mapToInt(Suspect::crashes).max().orElse(0);
     Optional<SharedPart> choice =
         candidates.entrySet().stream()
--- a/core/src/test/java/org/clementinequay/core/quarantine/CrashLedgerTest.java
+++ b/core/src/test/java/org/clementinequay/core/quarantine/CrashLedgerTest.java
@@ -6,8 +6,11 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 import org.clementinequay.core.time.ManualClock;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -191,4 +194,54 @@
       assertEquals(nameAfterConfirmation(), Optional.empty());
     }
   }
+
+  /** Prompts of very many parts, which callers may send. */
+  public static class LongPrompts extends LedgerTest {
+    private static final int PARTS = 3900;
+    private int prompts;
+
+    private List<String> longPrompt(String... last) {
+      prompts++;
+      List<String> parts =
+          IntStream.range(0, PARTS)
+              .mapToObj(i -> prompts + "-" + i)
+              .collect(Collectors.toCollection(ArrayList::new));
+      parts.addAll(List.of(last));
+      return parts;
+    }
+
+    // Guards against a heap that is filled with evidence (review/6).
+    @Test
+    public void areKeptWithinABound() {
+      for (int i = 0; i < 20; i++) {
+        crash(longPrompt(), longPrompt(), longPrompt());
+        assertTrue(ledger.keptParts() <= CrashLedger.MAX_PARTS, ledger.keptParts() + " parts");
+      }
+    }
+
+    @Test
+    public void leaveTheEvidenceOfOrdinaryOnes() {
+      for (int i = 0; i < CrashLedger.CRASH_THRESHOLD; i++) {
+        crash(List.of("bad"));
+        crash(longPrompt(), longPrompt(), longPrompt());
+      }
+      assertEquals(nameAfterConfirmation(), Optional.of(BAD));
+    }
+
+    @Test
+    public void countAsEvidenceThemselves() {
+      for (int i = 0; i < CrashLedger.CRASH_THRESHOLD; i++) {
+        crash(longPrompt("bad"));
+      }
+      assertEquals(nameAfterConfirmation(), Optional.of(BAD));
+    }
+
+    @Test
+    public void giveTheirRoomBackAfterTheTimeOfTheEvidence() {
+      crash(longPrompt());
+      clock.advance(CrashLedger.EVIDENCE_TIME.plusSeconds(1));
+      crash(List.of("bad"));
+      assertEquals(ledger.keptParts(), 1);
+    }
+  }
 }
--- a/server/src/main/java/org/clementinequay/server/gateway/CrashGuard.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/CrashGuard.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.clementinequay.core.forward.UpstreamInstance;
 import org.clementinequay.core.quarantine.CrashLedger;
 import org.clementinequay.core.quarantine.CrashReport;
@@ -22,12 +23,17 @@
   /** Maximum number of entries that wait for the task; further ones are dropped. */
   private static final int MAX_PENDING = 512;
 
+  /** Maximum number of parts of all attempts that wait for the task. */
+  static final int MAX_PENDING_PARTS = 16_384;
+
   private final RuntimeClock clock;
   private final CrashLedger ledger = new CrashLedger();
   private final PartQuarantine quarantine = new PartQuarantine();
   private final BlockingQueue<BrokenAttempt> broken = new ArrayBlockingQueue<>(MAX_PENDING);
   private final BlockingQueue<SharedPart> cleared = new ArrayBlockingQueue<>(MAX_PENDING);
 
+  private final AtomicInteger pendingParts = new AtomicInteger();
+
   /** An attempt whose connection ended before its answer had begun, and the upstream's address. */
   record BrokenAttempt(CrashReport report, String address) {}
 
@@ -37,15 +43,28 @@
 
   /** Reports an attempt whose connection ended before or just after the first event. */
   void attemptBroken(UpstreamInstance upstream, long startNanos, List<String> partIds) {
-    if (!partIds.isEmpty()) {
-      broken.offer(
-          new BrokenAttempt(
-              new CrashReport(
-                  upstream.service(), processId(upstream), startNanos, clock.nanoTime(), partIds),
-              upstream.address()));
+    if (partIds.isEmpty() || !takePending(partIds.size())) {
+      return;
+    }
+    boolean added =
+        broken.offer(
+            new BrokenAttempt(
+                new CrashReport(
+                    upstream.service(), processId(upstream), startNanos, clock.nanoTime(), partIds),
+                upstream.address()));
+    if (!added) {
+      pendingParts.addAndGet(-partIds.size());
     }
   }
 
+  /** Takes room for parts; a prompt takes no more than half of what is left, so that others fit. */
+  private boolean takePending(int parts) {
+    int before =
+        pendingParts.getAndUpdate(
+            pending -> parts <= (MAX_PENDING_PARTS - pending) / 2 ? pending + parts : pending);
+    return parts <= (MAX_PENDING_PARTS - before) / 2;
+  }
+
   /** Returns a name of the process; its id may be that of an earlier one. */
   private static String processId(UpstreamInstance upstream) {
     return upstream.id() + '@' + upstream.startMillis();
@@ -133,6 +152,7 @@
   List<BrokenAttempt> takeBroken() {
     List<BrokenAttempt> taken = new ArrayList<>();
     broken.drainTo(taken);
+    taken.forEach(attempt -> pendingParts.addAndGet(-attempt.report().partIds().size()));
     return taken;
   }
 
--- a/server/src/test/java/org/clementinequay/server/gateway/CrashGuardTest.java
+++ b/server/src/test/java/org/clementinequay/server/gateway/CrashGuardTest.java
@@ -3,6 +3,7 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
+import java.util.Collections;
 import java.util.List;
 import java.util.Set;
 import java.util.TreeSet;
@@ -76,6 +77,24 @@
 
   /** Reports of broken attempts. */
   public static class Reports {
+    // Guards against a heap that is filled by the prompts of attempts that wait for the task.
+    @Test
+    public void partsThatWaitAreBounded() {
+      CrashGuardCluster cluster = new CrashGuardCluster(1, 1);
+      CrashGuard guard = cluster.host(0).gateway.crashGuard;
+      List<String> longPrompt = Collections.nCopies(3900, FIRST);
+      for (int i = 0; i < 100; i++) {
+        guard.attemptBroken(cluster.newUpstream(true), 0, longPrompt);
+      }
+      guard.attemptBroken(cluster.newUpstream(true), 0, List.of(FIRST, BAD));
+      List<CrashGuard.BrokenAttempt> taken = guard.takeBroken();
+      int parts = taken.stream().mapToInt(attempt -> attempt.report().partIds().size()).sum();
+      assertTrue(parts <= CrashGuard.MAX_PENDING_PARTS, parts + " parts");
+      assertEquals(taken.get(taken.size() - 1).report().partIds(), List.of(FIRST, BAD));
+      guard.attemptBroken(cluster.newUpstream(true), 0, longPrompt);
+      assertEquals(guard.takeBroken().size(), 1);
+    }
+
     // Guards against the crashes of a process that starts again under its id being taken for one.
     @Test
     public void processesWithTheSameIdAreToldApart() {
