Hold the text of the metrics once for all who read it

Readers at the same time share one text in segments of 64 KiB. Eight may read at a time, so that they leave connections to the readiness check; each has 10 s, and a further one gets 503.

--- a/server/src/main/java/org/clementinequay/server/gateway/GatewayHost.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/GatewayHost.java
@@ -114,7 +114,7 @@
             .promptLaneEngines(settings.enginesForPromptLanes())
             .build();
     this.handler = new GatewayHandler(gateway);
-    this.readinessHandler = new ReadinessHandler(gateway, metrics::scrape);
+    this.readinessHandler = new ReadinessHandler(gateway, new MetricsText(metrics::scrape));
     IngressLimits callerLimits = CallerLimitSettings.callers(settings);
     IngressBudget callers = new IngressBudget(callerLimits);
     IngressBudget checks = new IngressBudget(CallerLimitSettings.ready(callerLimits));
--- a/server/src/main/java/org/clementinequay/server/gateway/ReadinessHandler.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/ReadinessHandler.java
@@ -1,9 +1,7 @@
 package org.clementinequay.server.gateway;
 
-import java.nio.ByteBuffer;
-import java.nio.charset.StandardCharsets;
-import java.util.function.Supplier;
-import org.eclipse.jetty.http.HttpHeader;
+import java.util.List;
+import java.util.Optional;
 import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.server.Handler;
 import org.eclipse.jetty.server.Request;
@@ -19,10 +17,10 @@
   static final String METRICS_PATH = "/metrics";
 
   private final Gateway gateway;
-  private final Supplier<String> metrics;
+  private final MetricsText metrics;
   private volatile boolean draining;
 
-  ReadinessHandler(Gateway gateway, Supplier<String> metrics) {
+  ReadinessHandler(Gateway gateway, MetricsText metrics) {
     this.gateway = gateway;
     this.metrics = metrics;
   }
@@ -41,9 +39,7 @@
 
   private void answer(Request request, Response response, Callback callback) {
     if (Request.getPathInContext(request).equals(METRICS_PATH)) {
-      response.getHeaders().put(HttpHeader.CONTENT_TYPE, "text/plain; version=0.0.4");
-      response.write(
-          true, ByteBuffer.wrap(metrics.get().getBytes(StandardCharsets.UTF_8)), callback);
+      sendMetrics(request, response, callback);
       return;
     }
     boolean ready =
@@ -51,4 +47,15 @@
     response.setStatus(ready ? HttpStatus.OK_200 : HttpStatus.SERVICE_UNAVAILABLE_503);
     callback.succeeded();
   }
+
+  private void sendMetrics(Request request, Response response, Callback callback) {
+    Optional<List<byte[]>> text = metrics.open();
+    if (text.isEmpty()) {
+      response.setStatus(HttpStatus.SERVICE_UNAVAILABLE_503);
+      callback.succeeded();
+      return;
+    }
+    Callback onEnd = Callback.from(metrics::close, callback);
+    new MetricsResponse(request, response, text.get(), onEnd).iterate();
+  }
 }
--- a/server/src/main/java/org/clementinequay/server/metrics/RouterMetrics.java
+++ b/server/src/main/java/org/clementinequay/server/metrics/RouterMetrics.java
@@ -6,6 +6,8 @@
 import io.micrometer.core.instrument.Timer;
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import java.io.IOException;
+import java.io.OutputStream;
 import java.time.Duration;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
@@ -103,6 +105,11 @@
     return registry.scrape();
   }
 
+  /** Writes all metrics in the Prometheus text format. */
+  public void scrape(OutputStream out) throws IOException {
+    registry.scrape(out);
+  }
+
   private Meters metersFor(Labels labels) {
     Meters existing = meters.get(labels);
     if (existing != null) {
