Count what a closed connection holds until it can be collected

Callers of heads without end saw refused connections: the host had ended with an OutOfMemoryError. A connection that was turned away gave its share of the budget back when it was closed, though it may linger for 2 s with the head that it has read, and jobs of it that wait for a thread reach that head until they have run.

A share is given back once the channel is closed, Jetty has destroyed the end point and no job of the connection waits or runs. A connection lingers only while half of the budget is free, and those that close take no place of new ones.

The tests of IngressBudget and CloseAwareEndPoint need what is new.

--- a/core/src/main/java/org/clementinequay/core/ingress/IngressBudget.java
+++ b/core/src/main/java/org/clementinequay/core/ingress/IngressBudget.java
@@ -59,6 +59,7 @@
   private final Map<TurnAway, Long> turnedAway = new EnumMap<>(TurnAway.class);
   private final Map<TurnAway, String> lastAddresses = new EnumMap<>(TurnAway.class);
   private long bytes;
+  private int closing;
   private long timeNanos;
   private long lastStepNanos;
   private boolean stepped;
@@ -103,7 +104,7 @@
     int ofAddress = connectionsByAddress.merge(address, 1, Integer::sum);
     if (ofAddress > limits.maxConnectionsPerAddress()) {
       closeUnused(share, TurnAway.CONNECTIONS_OF_ADDRESS, other -> other.address.equals(address));
-    } else if (shares.size() >= limits.connectionsInUse()) {
+    } else if (shares.size() - closing >= limits.connectionsInUse()) {
       closeUnused(share, TurnAway.CONNECTIONS, other -> true);
     }
     shares.add(share);
@@ -114,7 +115,7 @@
   private void closeUnused(IngressShare newcomer, TurnAway limit, Predicate<IngressShare> among) {
     Optional<IngressShare> unused =
         shares.stream()
-            .filter(share -> share.phase.closable() && !share.turnedAway && among.test(share))
+            .filter(share -> share.phase.closable() && !share.leaves() && among.test(share))
             .min(
                 Comparator.comparing((IngressShare share) -> share.phase == IngressPhase.IDLE)
                     .thenComparing(share -> share.progressNanos));
@@ -126,7 +127,7 @@
       enter(share, IngressPhase.HEAD);
     }
     recordProgress(share, headBytes);
-    return !share.turnedAway && takeOrDisplace(share, headBytes + (long) lines * FIELD_BYTES);
+    return !share.leaves() && takeOrDisplace(share, headBytes + (long) lines * FIELD_BYTES);
   }
 
   synchronized void beginRequest(IngressShare share, int headBytes, int fields) {
@@ -172,7 +173,7 @@
   }
 
   synchronized Admission takeBody(IngressShare share, long moreBytes) {
-    if (share.turnedAway || share.closed) {
+    if (share.leaves() || share.closed) {
       return Admission.REFUSED;
     }
     if (share.bytes + moreBytes <= SMALL_BYTES) {
@@ -202,7 +203,7 @@
   private boolean displaceLargest(IngressShare share, long moreBytes) {
     Optional<IngressShare> largest =
         shares.stream()
-            .filter(other -> other.phase.holdsForSlowCallers() && !other.turnedAway)
+            .filter(other -> other.phase.holdsForSlowCallers() && !other.leaves())
             .max(Comparator.comparingLong(other -> other.bytes))
             .filter(other -> other.bytes > share.bytes + moreBytes)
             .filter(other -> mayDisplace(share, moreBytes));
@@ -279,17 +280,35 @@
     resumeWaiting();
   }
 
+  synchronized boolean beginClose(IngressShare share) {
+    if (!share.closed && !share.closing) {
+      share.closing = true;
+      closing++;
+      forgetAddress(share);
+      stopWaiting(share);
+    }
+    return bytes <= limits.maxBytes() / 2;
+  }
+
   synchronized void close(IngressShare share) {
     if (share.closed) {
       return;
     }
     stopWaiting(share);
+    if (share.closing) {
+      closing--;
+    } else {
+      forgetAddress(share);
+    }
     add(share, -share.bytes);
     share.closed = true;
     shares.remove(share);
+    resumeWaiting();
+  }
+
+  private void forgetAddress(IngressShare share) {
     connectionsByAddress.computeIfPresent(
         share.address, (address, count) -> count == 1 ? null : count - 1);
-    resumeWaiting();
   }
 
   private void stopWaiting(IngressShare share) {
@@ -313,7 +332,7 @@
   }
 
   private void turnAway(IngressShare share, TurnAway limit) {
-    if (!share.turnedAway) {
+    if (!share.leaves()) {
       share.turnedAway = true;
       stopWaiting(share);
       recordTurnedAway(share, limit);
@@ -358,7 +377,7 @@
     boolean accountIsFull = !accountHasRoom(first);
     long wanted = waiting.stream().mapToLong(share -> share.wantedBytes).sum();
     long leaving =
-        shares.stream().filter(share -> share.turnedAway).mapToLong(share -> share.bytes).sum();
+        shares.stream().filter(IngressShare::leaves).mapToLong(share -> share.bytes).sum();
     List<IngressShare> slowest =
         shares.stream()
             .filter(this::isSlow)
@@ -380,7 +399,7 @@
   private boolean isSlow(IngressShare share) {
     return share.phase.holdsForSlowCallers()
         && share.wantedBytes == 0
-        && !share.turnedAway
+        && !share.leaves()
         && timeNanos - share.progressNanos >= SLOW_NANOS;
   }
 
--- a/core/src/main/java/org/clementinequay/core/ingress/IngressShare.java
+++ b/core/src/main/java/org/clementinequay/core/ingress/IngressShare.java
@@ -21,6 +21,7 @@
   long waitingNanos;
   long limitNanos;
   boolean turnedAway;
+  boolean closing;
   boolean closed;
 
   IngressShare(IngressBudget budget, String address, IngressHolder holder) {
@@ -29,6 +30,11 @@
     this.holder = holder;
   }
 
+  /** Returns whether what is held will be given back soon. */
+  boolean leaves() {
+    return turnedAway || closing;
+  }
+
   /**
    * Takes bytes for a part of a head that has arrived.
    *
@@ -100,6 +106,15 @@
     budget.endRequest(this);
   }
 
+  /**
+   * Begins to close the connection, which holds what it holds until {@link #close}.
+   *
+   * @return whether there is so much room that it need not be closed at once
+   */
+  public boolean beginClose() {
+    return budget.beginClose(this);
+  }
+
   /** Gives back everything. */
   public void close() {
     budget.close(this);
--- a/core/src/test/java/org/clementinequay/core/ingress/IngressBudgetTest.java
+++ b/core/src/test/java/org/clementinequay/core/ingress/IngressBudgetTest.java
@@ -252,6 +252,46 @@
 
   /** Open connections. */
   public static class Connections extends Fixture {
+    // Guards against memory that is given back while the connection, which lingers, still has it.
+    @Test
+    public void holdTheirBytesUntilTheyAreClosed() {
+      Caller leaver = open("a");
+      assertTrue(leaver.share.takeHead(1000, 10));
+      long held = budget.bytes();
+      assertTrue(leaver.share.beginClose());
+      assertEquals(budget.bytes(), held);
+      leaver.share.close();
+      assertEquals(budget.bytes(), 0);
+    }
+
+    // Guards against bytes that a request takes after its connection was closed, and never gives
+    // back.
+    @Test
+    public void takeNothingOnceTheyAreClosed() {
+      Caller leaver = body(1000);
+      leaver.share.beginClose();
+      assertEquals(leaver.share.takeBody(1000), Admission.REFUSED);
+      leaver.share.close();
+      assertFalse(leaver.share.takeDecodedHead(1000));
+      assertEquals(budget.bytes(), 0);
+    }
+
+    @Test
+    public void doNotLingerIfTheirBytesAreNeeded() {
+      Caller leaver = body(5 << 20);
+      assertFalse(leaver.share.beginClose());
+    }
+
+    @Test
+    public void thatAreBeingClosedTakeNoPlaceOfNewOnes() {
+      for (int i = 0; i < 30; i++) {
+        open("a").share.beginClose();
+      }
+      Caller newcomer = open("a");
+      run(500);
+      assertEquals(newcomer.limit, Optional.empty());
+    }
+
     @Test
     public void unusedOnesGiveWayToNewOnes() {
       Caller used = open("used");
--- a/server/src/main/java/org/clementinequay/server/gateway/CallerConnector.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/CallerConnector.java
@@ -11,7 +11,6 @@
 import org.eclipse.jetty.io.EndPoint;
 import org.eclipse.jetty.io.ManagedSelector;
 import org.eclipse.jetty.io.SocketChannelEndPoint;
-import org.eclipse.jetty.server.HttpConnectionFactory;
 import org.eclipse.jetty.server.Server;
 import org.eclipse.jetty.server.ServerConnector;
 
@@ -27,7 +26,7 @@
   private final IngressBudget budget;
   private final Set<SocketChannel> channels = ConcurrentHashMap.newKeySet();
 
-  public CallerConnector(Server server, HttpConnectionFactory factory, IngressBudget budget) {
+  public CallerConnector(Server server, CallerConnectionFactory factory, IngressBudget budget) {
     super(server, null, null, null, 1, 1, factory);
     this.budget = budget;
   }
@@ -72,6 +71,12 @@
     return endPoint;
   }
 
+  @Override
+  protected void onEndPointClosed(EndPoint endPoint) {
+    super.onEndPointClosed(endPoint);
+    ((CloseAwareEndPoint) endPoint).onDestroyed();
+  }
+
   /** Leaves callers time to close their connections first, from now on. */
   void startDraining() {
     closer.lingerAlways();
--- a/server/src/main/java/org/clementinequay/server/gateway/CloseAwareEndPoint.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/CloseAwareEndPoint.java
@@ -33,12 +33,13 @@
   /** Time without a request or a byte of one after which a stopping host closes a connection. */
   private static final long QUIET_NANOS = 250_000_000L;
 
-  private final Executor executor;
+  private final SelectionKey key;
+  private final ConnectionExecutor executor;
   private final LingeringCloser closer;
   private final IngressBudget budget;
   private final HeadMeter headMeter = new HeadMeter();
   private final Object lock = new Object();
-  private final Callback onFillable = Callback.from(() -> onFillable(null), this::onFillable);
+  private final Callback onFillable = Callback.from(() -> runOnFillable(null), this::runOnFillable);
   private Callback pendingRead;
   private boolean readRegistered;
   private Runnable onClose;
@@ -61,7 +62,8 @@
       LingeringCloser closer,
       IngressBudget budget) {
     super(channel, selector, key, scheduler);
-    this.executor = executor;
+    this.key = key;
+    this.executor = new ConnectionExecutor(executor, this::closeShare);
     this.closer = closer;
     this.budget = budget;
   }
@@ -81,6 +83,11 @@
     return (CloseAwareEndPoint) request.getConnectionMetaData().getConnection().getEndPoint();
   }
 
+  /** Returns the executor for all jobs of the connection. */
+  Executor executor() {
+    return executor;
+  }
+
   /** Returns what the connection holds of the budget. */
   IngressShare share() {
     return share;
@@ -276,14 +283,32 @@
 
   @Override
   public void doClose() {
-    if (share != null) {
-      share.close();
-    }
     boolean alreadyRead;
     synchronized (lock) {
       alreadyRead = unreadBytes != null;
     }
-    closer.close(getChannel(), alreadyRead, getScheduler(), super::doClose);
+    boolean mayLinger = share == null || share.beginClose();
+    closer.close(key, alreadyRead, mayLinger, getScheduler(), this::closeChannel);
+  }
+
+  private void closeChannel() {
+    super.doClose();
+    executor.release();
+  }
+
+  /** Must be called once Jetty has destroyed this end point; jobs may still wait or run. */
+  void onDestroyed() {
+    executor.release();
+  }
+
+  private void closeShare() {
+    if (share != null) {
+      share.close();
+    }
+  }
+
+  private void runOnFillable(Throwable failure) {
+    executor.run(() -> onFillable(failure));
   }
 
   /**
--- a/server/src/main/java/org/clementinequay/server/gateway/JettyFactory.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/JettyFactory.java
@@ -10,7 +10,6 @@
 import org.eclipse.jetty.io.ClientConnector;
 import org.eclipse.jetty.server.Handler;
 import org.eclipse.jetty.server.HttpConfiguration;
-import org.eclipse.jetty.server.HttpConnectionFactory;
 import org.eclipse.jetty.server.Server;
 import org.eclipse.jetty.server.ServerConnector;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
@@ -73,8 +72,8 @@
     // Paths are forwarded unchanged; this host only compares them with the prefixes of routes.
     http.setUriCompliance(UriCompliance.UNSAFE);
     http.setHttpCompliance(HttpCompliance.RFC7230);
-    HttpConnectionFactory factory = new HttpConnectionFactory(http);
-    ServerConnector connector = new CallerConnector(server, factory, budget);
+    ServerConnector connector =
+        new CallerConnector(server, new CallerConnectionFactory(http), budget);
     HostAndPort hostAndPort = HostAndPort.fromString(address);
     connector.setHost(hostAndPort.getHost());
     connector.setPort(hostAndPort.getPort());
@@ -88,7 +87,8 @@
 
   /** Adds a listener whose callers share a budget with those of the others. */
   static void addListener(Server server, String host, int port, IngressBudget budget) {
-    ServerConnector connector = new CallerConnector(server, new HttpConnectionFactory(), budget);
+    ServerConnector connector =
+        new CallerConnector(server, new CallerConnectionFactory(new HttpConfiguration()), budget);
     connector.setHost(host);
     connector.setPort(port);
     connector.setIdleTimeout(CALLER_IDLE_MILLIS);
--- a/server/src/main/java/org/clementinequay/server/gateway/LingeringCloser.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/LingeringCloser.java
@@ -3,6 +3,7 @@
 import com.google.common.flogger.FluentLogger;
 import java.io.IOException;
 import java.nio.ByteBuffer;
+import java.nio.channels.SelectionKey;
 import java.nio.channels.SocketChannel;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -47,13 +48,24 @@
   /**
    * Closes a connection, now or later.
    *
+   * @param key registration of the channel of the connection
    * @param alreadyRead whether bytes of the caller were read that belong to no answered request
+   * @param mayLinger whether there is room for what the connection holds, unless the host stops
    * @param close closes the channel
    */
-  void close(SocketChannel channel, boolean alreadyRead, Scheduler scheduler, Runnable close) {
+  void close(
+      SelectionKey key,
+      boolean alreadyRead,
+      boolean mayLinger,
+      Scheduler scheduler,
+      Runnable close) {
+    SocketChannel channel = (SocketChannel) key.channel();
     Input input = drop(channel);
     boolean lingers =
-        lingersAlways || (pending.get() < MAX_PENDING && (alreadyRead || input == Input.DROPPED));
+        lingersAlways
+            || (mayLinger
+                && pending.get() < MAX_PENDING
+                && (alreadyRead || input == Input.DROPPED));
     if (input == Input.ENDED || !lingers) {
       close.run();
       return;
@@ -66,14 +78,14 @@
       return;
     }
     pending.incrementAndGet();
-    poll(channel, LINGER_MILLIS / POLL_MILLIS, scheduler, close);
+    poll(key, LINGER_MILLIS / POLL_MILLIS, scheduler, close);
   }
 
-  private void poll(SocketChannel channel, int polls, Scheduler scheduler, Runnable close) {
+  private void poll(SelectionKey key, int polls, Scheduler scheduler, Runnable close) {
     scheduler.schedule(
         () -> {
-          if (polls > 0 && drop(channel) != Input.ENDED) {
-            poll(channel, polls - 1, scheduler, close);
+          if (polls > 0 && drop((SocketChannel) key.channel()) != Input.ENDED) {
+            poll(key, polls - 1, scheduler, close);
             return;
           }
           close.run();
--- a/server/src/test/java/org/clementinequay/server/gateway/CloseAwareEndPointTest.java
+++ b/server/src/test/java/org/clementinequay/server/gateway/CloseAwareEndPointTest.java
@@ -8,6 +8,8 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.Selector;
 import java.nio.channels.ServerSocketChannel;
 import java.nio.channels.SocketChannel;
 import java.nio.charset.StandardCharsets;
@@ -66,6 +68,30 @@
       }
     }
 
+    // Guards against memory that closed connections hold for jobs that wait for a thread.
+    @Test
+    public void closedConnectionKeepsItsShareUntilItsJobsHaveRun() throws Exception {
+      try (ServerSocketChannel listener =
+              ServerSocketChannel.open().bind(new InetSocketAddress("127.0.0.1", 0));
+          SocketChannel channel = SocketChannel.open(listener.getLocalAddress());
+          Selector selector = Selector.open()) {
+        channel.configureBlocking(false);
+        SelectionKey key = channel.register(selector, 0);
+        CloseAwareEndPoint endPoint =
+            new CloseAwareEndPoint(
+                channel, null, key, null, tasks::add, new LingeringCloser(), budget);
+        endPoint.onOpen();
+        endPoint.share().takeHead(1000, 100);
+        endPoint.executor().execute(() -> {});
+        endPoint.close();
+        endPoint.onDestroyed();
+        assertFalse(channel.isOpen());
+        assertTrue(budget.bytes() > 1000, "the job can still reach the head");
+        tasks.remove().run();
+        assertEquals(budget.bytes(), 0);
+      }
+    }
+
     private static final class IgnoringHolder implements IngressHolder {
       @Override
       public void resume() {}
