Send bodies to upstreams in copies of their parts

Callers of many large bodies at once saw refused connections: the host had ended with an OutOfMemoryError. A connection of Jetty 12.1.13 refers to the last buffer that it has sent, also while it is idle, and the buffer of a body in one piece is the whole body.

The body is sent in copies of 16 KiB, so that a connection holds one part.

JettyUpstreamSenderTest.IdleConnection fails on: the body is still held after 100 collections.

--- a/server/src/main/java/org/clementinequay/server/gateway/JettyUpstreamSender.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/JettyUpstreamSender.java
@@ -5,7 +5,6 @@
 import org.clementinequay.server.upstream.UpstreamCall;
 import org.clementinequay.server.upstream.UpstreamListener;
 import org.clementinequay.server.upstream.UpstreamTransport;
-import org.eclipse.jetty.client.BytesRequestContent;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.client.Request;
 import org.eclipse.jetty.http.HttpHeader;
@@ -43,7 +42,7 @@
                 });
     if (outbound.body().length > 0) {
       String contentType = outbound.headers().get(HttpHeader.CONTENT_TYPE);
-      request.body(new BytesRequestContent(contentType, outbound.body()));
+      request.body(new CopiedContent(contentType, outbound.body()));
     }
     return new UpstreamCall(request, listener);
   }
--- a/server/src/test/java/org/clementinequay/server/gateway/JettyUpstreamSenderTest.java
+++ b/server/src/test/java/org/clementinequay/server/gateway/JettyUpstreamSenderTest.java
@@ -1,8 +1,13 @@
 package org.clementinequay.server.gateway;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertNull;
 
+import java.io.BufferedInputStream;
 import java.io.IOException;
+import java.io.InputStream;
+import java.io.UncheckedIOException;
+import java.lang.ref.WeakReference;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -88,6 +93,66 @@
     }
   }
 
+  /** Connections that are kept for the next request. */
+  public static class IdleConnection {
+    private static final int BODY_BYTES = 1 << 20;
+    private static final int IDLE_MILLIS = 60_000;
+    private static final int MAX_COLLECTIONS = 100;
+    private static final int PAUSE_MILLIS = 50;
+
+    // Guards against bodies that connections to upstreams hold beyond their requests.
+    @Test
+    public void doesNotHoldTheLastBody() throws Exception {
+      HttpClient client = JettyFactory.newClient("test");
+      client.setIdleTimeout(IDLE_MILLIS);
+      client.start();
+      try (ServerSocket upstream = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+        CompletableFuture<Socket> connection = new CompletableFuture<>();
+        new Thread(() -> serve(upstream, connection)).start();
+        WeakReference<byte[]> body = send(client, upstream.getLocalPort());
+        for (int i = 0; i < MAX_COLLECTIONS && body.get() != null; i++) {
+          System.gc();
+          TimeUnit.MILLISECONDS.sleep(PAUSE_MILLIS);
+        }
+        assertNull(body.get());
+        connection.join().close();
+      } finally {
+        client.stop();
+      }
+    }
+
+    private static WeakReference<byte[]> send(HttpClient client, int port) throws Exception {
+      byte[] body = new byte[BODY_BYTES];
+      CompletableFuture<String> outcome = new CompletableFuture<>();
+      new JettyUpstreamSender(client, client)
+          .newCall(
+              new OutboundRequest(
+                  "127.0.0.1:" + port, "POST", "/", HttpFields.EMPTY, body, false, 20_000),
+              new Recorder(outcome, new CompletableFuture<>()))
+          .start();
+      assertEquals(outcome.get(30, TimeUnit.SECONDS), "ended");
+      return new WeakReference<>(body);
+    }
+
+    /** Answers one request whose body has only zeros, and leaves the connection open. */
+    private static void serve(ServerSocket upstream, CompletableFuture<Socket> connection) {
+      try {
+        Socket socket = upstream.accept();
+        InputStream in = new BufferedInputStream(socket.getInputStream());
+        for (int zeros = 0; zeros < BODY_BYTES; ) {
+          zeros += in.read() == 0 ? 1 : 0;
+        }
+        socket
+            .getOutputStream()
+            .write(
+                "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+        connection.complete(socket);
+      } catch (IOException e) {
+        throw new UncheckedIOException(e);
+      }
+    }
+  }
+
   private record Recorder(CompletableFuture<String> outcome, CompletableFuture<Void> received)
       implements UpstreamListener {
     @Override
