Count closed connections of callers until their descriptors are free

A channel that is closed keeps its descriptor until its selector has removed its registration. The bound on connections of callers did not count it, so that more descriptors were open than it says, and an idle host, whose selector does not run, kept the descriptor of a connection that had lingered and never reset its sender.

Closed channels count while they are registered (OpenChannels), and the selector runs after a connection has lingered.

--- a/server/src/main/java/org/clementinequay/server/gateway/CallerConnector.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/CallerConnector.java
@@ -4,8 +4,6 @@
 import java.net.Socket;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.SocketChannel;
-import java.util.Set;
-import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import org.clementinequay.core.ingress.IngressBudget;
 import org.eclipse.jetty.io.EndPoint;
@@ -18,13 +16,10 @@
 public final class CallerConnector extends ServerConnector {
   private final LingeringCloser closer = new LingeringCloser();
 
-  /** Number of closed connections that are remembered, beside as many as are open. */
-  private static final int MAX_CLOSED = 16;
-
   private static final long ACCEPT_POLL_MILLIS = 5;
 
   private final IngressBudget budget;
-  private final Set<SocketChannel> channels = ConcurrentHashMap.newKeySet();
+  private final OpenChannels channels = new OpenChannels();
 
   public CallerConnector(Server server, CallerConnectionFactory factory, IngressBudget budget) {
     super(server, null, null, null, 1, 1, factory);
@@ -40,27 +35,17 @@
   /** Accepts a connection once few enough are open; those that are being closed count. */
   @Override
   public void accept(int acceptorId) throws IOException {
-    if (channels.size() > 2 * getConnectedEndPoints().size() + MAX_CLOSED) {
-      forgetClosed();
-    }
-    while (isOpen() && channels.size() >= budget.maxConnections()) {
-      forgetClosed();
-      if (channels.size() >= budget.maxConnections()) {
-        try {
-          TimeUnit.MILLISECONDS.sleep(ACCEPT_POLL_MILLIS);
-        } catch (InterruptedException e) {
-          Thread.currentThread().interrupt();
-          return;
-        }
+    while (isOpen() && !channels.areFewerThan(budget.maxConnections())) {
+      try {
+        TimeUnit.MILLISECONDS.sleep(ACCEPT_POLL_MILLIS);
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+        return;
       }
     }
     super.accept(acceptorId);
   }
 
-  private void forgetClosed() {
-    channels.removeIf(channel -> !channel.isOpen());
-  }
-
   @Override
   protected SocketChannelEndPoint newEndPoint(
       SocketChannel channel, ManagedSelector selector, SelectionKey key) {
--- a/server/src/main/java/org/clementinequay/server/gateway/LingeringCloser.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/LingeringCloser.java
@@ -89,6 +89,9 @@
             return;
           }
           close.run();
+          // The descriptor of a registered channel is freed by the next selection only. Without a
+          // delay, Jetty wakes the selector itself.
+          key.selector().wakeup();
           pending.decrementAndGet();
         },
         POLL_MILLIS,
--- a/server/src/test/java/org/clementinequay/server/gateway/CloseWithUnreadBytesTest.java
+++ b/server/src/test/java/org/clementinequay/server/gateway/CloseWithUnreadBytesTest.java
@@ -1,6 +1,7 @@
 package org.clementinequay.server.gateway;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
@@ -74,6 +75,15 @@
     assertEquals(bytes, ClosingHandler.BODY_BYTES);
   }
 
+  // Guards against a descriptor that an idle host keeps although it has closed the connection.
+  @Test
+  public void senderWithoutEndIsReset() throws Exception {
+    Thread sender = new Thread(() -> sendBehind(Integer.MAX_VALUE));
+    sender.start();
+    sender.join(MAX_WAIT_MILLIS);
+    assertFalse(sender.isAlive());
+  }
+
   private void sendBehind(int count) {
     try {
       for (int i = 0; i < count; i++) {
