Bound the connections to all upstreams of a host

Traced by the descriptors of the process beside the test: at 248 of them 116 were connections of callers, which 150 may have, and 64 connections to the only upstream; 40 were jars of the class path, 14 selectors. Two clients open up to 64 connections to an upstream each, and nothing bounded their sum. A host whose descriptors are used up accepts no caller and reaches no upstream.

Both clients share a limit for all upstreams (maxUpstreamConnections). Its default is what callers leave of nine tenths of the descriptors, hundreds on the smallest host. Beyond it idle connections are closed, and new ones wait in the order of their requests; a request that waits has not been sent and still ends at its deadline.

--- a/server/src/main/java/org/clementinequay/server/gateway/GatewayHost.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/GatewayHost.java
@@ -61,8 +61,8 @@
   private final RuntimeClock clock;
   private final JsonDecisionLog log;
   private final RouterMetrics metrics = new RouterMetrics();
-  private final HttpClient client = JettyFactory.newClient("upstreams");
-  private final HttpClient singleUseClient = JettyFactory.newClient("upstreams-once");
+  private final HttpClient client;
+  private final HttpClient singleUseClient;
   private final Gateway gateway;
   private final GatewayHandler handler;
   private final ReadinessHandler readinessHandler;
@@ -95,6 +95,9 @@
     this.clock = clock;
     this.log = log;
     UpstreamReachability reachability = new UpstreamReachability(clock, new ConnectProbe());
+    ConnectionLimit limit = new ConnectionLimit(CallerLimitSettings.upstreamConnections(settings));
+    this.client = JettyFactory.newClient("upstreams", limit);
+    this.singleUseClient = JettyFactory.newClient("upstreams-once", limit);
     shareThreads(client, singleUseClient);
     this.gateway =
         Gateway.builder()
@@ -127,6 +130,7 @@
     }
     metrics.registerGauge("clementinequay_open_requests", handler::openRequests);
     metrics.registerGauge("clementinequay_log_dropped", log::dropped);
+    metrics.registerGauge("clementinequay_waiting_connections", limit::waiting);
     GatewayGauges.registerState(metrics, gateway);
     IngressTask ingress = new IngressTask(gateway, List.of(callers, checks));
     addTask("ingress", ingress::step);
--- a/server/src/main/java/org/clementinequay/server/gateway/GatewaySettings.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/GatewaySettings.java
@@ -53,6 +53,8 @@
  * @param maxConnections open connections of callers; by the descriptors if it is absent
  * @param maxConnectionsPerAddress open connections of one address of callers; {@code
  *     maxConnections} if it is absent
+ * @param maxUpstreamConnections open connections to all upstreams; by the descriptors if it is
+ *     absent
  */
 public record GatewaySettings(
     String name,
@@ -82,7 +84,8 @@
     JsonNode promptLaneEngines,
     JsonNode maxCallerBytes,
     JsonNode maxConnections,
-    JsonNode maxConnectionsPerAddress) {
+    JsonNode maxConnectionsPerAddress,
+    JsonNode maxUpstreamConnections) {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
   /** Largest number of requests that may wait; each keeps its body in memory. */
--- a/server/src/main/java/org/clementinequay/server/gateway/JettyFactory.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/JettyFactory.java
@@ -3,7 +3,10 @@
 import com.google.common.net.HostAndPort;
 import org.clementinequay.core.ingress.IngressBudget;
 import org.clementinequay.server.upstream.BoundedHttpTransport;
+import org.eclipse.jetty.client.Connection;
+import org.eclipse.jetty.client.Destination;
 import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.client.transport.HttpDestination;
 import org.eclipse.jetty.http.HttpCompliance;
 import org.eclipse.jetty.http.HttpCookieStore;
 import org.eclipse.jetty.http.UriCompliance;
@@ -95,8 +98,13 @@
     server.addConnector(connector);
   }
 
-  static HttpClient newClient(String name) {
-    ClientConnector connector = new ResetAwareConnector();
+  /**
+   * Returns a client for upstreams that has not been started.
+   *
+   * @param limit bounds its connections together with those of other clients
+   */
+  static HttpClient newClient(String name, ConnectionLimit limit) {
+    ClientConnector connector = new ResetAwareConnector(limit);
     connector.setSelectors(1);
     QueuedThreadPool threads = new QueuedThreadPool(CLIENT_THREADS, KEPT_THREADS);
     threads.setName(name);
@@ -114,6 +122,19 @@
     // The connections of a client carry requests of all callers.
     client.setHttpCookieStore(new HttpCookieStore.Empty());
     client.getProtocolHandlers().put(new InformationalHandler());
+    limit.addIdleCloser(() -> closeIdle(client));
     return client;
   }
+
+  private static boolean closeIdle(HttpClient client) {
+    for (Destination destination : client.getDestinations()) {
+      // Returns nothing but an idle connection, as it may not create one.
+      Connection idle = ((HttpDestination) destination).getConnectionPool().acquire(false);
+      if (idle != null) {
+        idle.close();
+        return true;
+      }
+    }
+    return false;
+  }
 }
--- a/server/src/main/java/org/clementinequay/server/gateway/ResetAwareConnector.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/ResetAwareConnector.java
@@ -1,11 +1,14 @@
 package org.clementinequay.server.gateway;
 
 import java.io.IOException;
+import java.net.SocketAddress;
 import java.nio.ByteBuffer;
 import java.nio.channels.SelectableChannel;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.SocketChannel;
+import java.util.Map;
 import java.util.concurrent.Executor;
+import java.util.concurrent.TimeUnit;
 import org.clementinequay.server.upstream.PlainConnector;
 import org.eclipse.jetty.io.EndPoint;
 import org.eclipse.jetty.io.ManagedSelector;
@@ -19,9 +22,44 @@
  * both as end of input, so a response without a length would look complete after a reset.
  */
 final class ResetAwareConnector extends PlainConnector {
+  private static final long WAIT_POLL_MILLIS = 5;
+
+  private final ConnectionLimit limit;
+  private volatile Selectors selectors;
+
+  ResetAwareConnector(ConnectionLimit limit) {
+    this.limit = limit;
+  }
+
   @Override
   protected SelectorManager newSelectorManager() {
-    return new Selectors(getExecutor(), getScheduler(), getSelectors());
+    selectors = new Selectors(getExecutor(), getScheduler(), getSelectors());
+    return selectors;
+  }
+
+  @Override
+  public void connect(SocketAddress address, Map<String, Object> context) {
+    if (limit.connect(() -> super.connect(address, context))) {
+      scheduleWaiting();
+    }
+  }
+
+  @Override
+  protected void configure(SelectableChannel channel) throws IOException {
+    super.configure(channel);
+    limit.opened((SocketChannel) channel);
+  }
+
+  private void scheduleWaiting() {
+    getScheduler().schedule(this::connectWaiting, WAIT_POLL_MILLIS, TimeUnit.MILLISECONDS);
+  }
+
+  private void connectWaiting() {
+    if (limit.connectWaiting() && isRunning()) {
+      // A selector removes the registrations of closed channels when it selects.
+      selectors.getBeans(ManagedSelector.class).forEach(one -> one.submit(selector -> {}));
+      scheduleWaiting();
+    }
   }
 
   private final class Selectors extends ClientSelectorManager {
--- a/server/src/test/java/org/clementinequay/server/gateway/JettyUpstreamSenderTest.java
+++ b/server/src/test/java/org/clementinequay/server/gateway/JettyUpstreamSenderTest.java
@@ -35,7 +35,7 @@
 
     @BeforeMethod
     public void start() throws Exception {
-      client = JettyFactory.newClient("test");
+      client = JettyFactory.newClient("test", new ConnectionLimit(100));
       client.start();
       upstream = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
     }
@@ -103,7 +103,7 @@
     // Guards against bodies that connections to upstreams hold beyond their requests.
     @Test
     public void doesNotHoldTheLastBody() throws Exception {
-      HttpClient client = JettyFactory.newClient("test");
+      HttpClient client = JettyFactory.newClient("test", new ConnectionLimit(100));
       client.setIdleTimeout(IDLE_MILLIS);
       client.start();
       try (ServerSocket upstream = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
@@ -153,6 +153,29 @@
     }
   }
 
+  /** Connections beyond the limit of a host. */
+  public static class BeyondLimit {
+    private static final int UPSTREAMS = 3;
+
+    // Guards against requests that fail, or wait for an idle connection of another upstream.
+    @Test
+    public void takeThePlacesOfIdleOnes() throws Exception {
+      HttpClient client = JettyFactory.newClient("test", new ConnectionLimit(1));
+      client.setIdleTimeout(IdleConnection.IDLE_MILLIS);
+      client.start();
+      try {
+        for (int i = 0; i < UPSTREAMS; i++) {
+          try (ServerSocket upstream = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            new Thread(() -> IdleConnection.serve(upstream, new CompletableFuture<>())).start();
+            IdleConnection.send(client, upstream.getLocalPort());
+          }
+        }
+      } finally {
+        client.stop();
+      }
+    }
+  }
+
   private record Recorder(CompletableFuture<String> outcome, CompletableFuture<Void> received)
       implements UpstreamListener {
     @Override
