Cut long texts in the log and write it in parts

Entries of the log wait in a queue of 4,096 and kept the ids and headers that callers sent, each up to the size of a head, and all that waited was formatted into one array. A slow reader of the log and callers with long ids could fill the heap. Found by reading; no crowd has ended a host by it.

Texts and lists are cut at 512 characters when they are recorded, and at most 64 KiB of lines are formatted before they are written.

--- a/server/src/main/java/org/clementinequay/server/gateway/JsonDecisionLog.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/JsonDecisionLog.java
@@ -5,6 +5,7 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.OutputStream;
+import java.util.Collection;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.atomic.AtomicLong;
@@ -19,6 +20,14 @@
   private static final int QUEUE_CAPACITY = 4096;
   private static final int INITIAL_BUFFER_BYTES = 512;
 
+  /** Bytes after which lines are written before further ones are formatted. */
+  static final int MAX_BATCH_BYTES = 64 << 10;
+
+  /** Length to which texts are cut: ids and headers of callers may have the size of a head. */
+  static final int MAX_TEXT_LENGTH = 512;
+
+  private static final String CUT_MARK = "...";
+
   private final BlockingQueue<Entry> queue = new ArrayBlockingQueue<>(QUEUE_CAPACITY);
   private final AtomicLong dropped = new AtomicLong();
   private final JsonFactory json = new JsonFactory();
@@ -40,11 +49,34 @@
 
   @Override
   public void record(String event, Object... fields) {
+    for (int i = 1; i < fields.length; i += 2) {
+      fields[i] = bounded(fields[i]);
+    }
     if (!queue.offer(new Entry(clock.nanoTime(), event, fields))) {
       dropped.incrementAndGet();
     }
   }
 
+  /** Returns a value that does not keep what a caller sent in memory while it waits. */
+  private static Object bounded(Object value) {
+    if (value instanceof Number || value instanceof Boolean) {
+      return value;
+    }
+    String text = value instanceof Collection<?> items ? join(items) : String.valueOf(value);
+    return text.length() <= MAX_TEXT_LENGTH ? text : text.substring(0, MAX_TEXT_LENGTH) + CUT_MARK;
+  }
+
+  private static String join(Collection<?> items) {
+    StringBuilder text = new StringBuilder("[");
+    for (Object item : items) {
+      if (text.length() > MAX_TEXT_LENGTH) {
+        return text.toString();
+      }
+      text.append(text.length() == 1 ? "" : ", ").append(item);
+    }
+    return text.append(']').toString();
+  }
+
   /** Returns the number of dropped entries since the start. */
   public long dropped() {
     return dropped.get();
@@ -58,7 +90,7 @@
         ByteArrayOutputStream lines = new ByteArrayOutputStream(INITIAL_BUFFER_BYTES);
         while (entry != null) {
           appendLine(lines, entry);
-          entry = queue.poll();
+          entry = lines.size() < MAX_BATCH_BYTES ? queue.poll() : null;
         }
         long totalDropped = dropped.get();
         if (totalDropped > reportedDropped) {
