Answer 400 to malformed bodies and 408 to late ones

Callers whose chunks are malformed got 500, which blames the host, or a connection that was reset. The receipt of the body ended in an abort of the exchange, for which the HTTP library writes its own error.

A body that cannot be read is refused with 400, one that stops until its connection is idle with 408. Both are true: a request with an incomplete body is not passed on to an upstream.

--- a/server/src/main/java/org/clementinequay/server/gateway/RequestReceipt.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/RequestReceipt.java
@@ -2,6 +2,7 @@
 
 import com.google.common.flogger.FluentLogger;
 import java.util.Optional;
+import java.util.concurrent.TimeoutException;
 import org.clementinequay.core.forward.AccountKeys;
 import org.clementinequay.core.forward.CallerLimits;
 import org.clementinequay.core.forward.ForwardingConfiguration;
@@ -167,7 +168,12 @@
   @Override
   public void broken(Throwable failure) {
     gateway.log.record("body_broken", "request", id(), "reason", Failures.summary(failure));
-    exchange.abort("the body could not be read");
+    // A request whose body is incomplete was not passed on.
+    refuse(
+        refusal.orElse(
+            failure instanceof TimeoutException
+                ? new Refusal(HttpStatus.REQUEST_TIMEOUT_408, "the body took too long")
+                : new Refusal(HttpStatus.BAD_REQUEST_400, "the body is malformed or incomplete")));
   }
 
   private void forward(ForwardingConfiguration configuration, byte[] body) {
