Do not pass on the part of an answer that ends before its upload

Callers got the part of an answer as a whole one: an upstream answers a long upload at once with a 200 without length, sends a part, closes its sending side and resets the connection while the upload is being written. An answer without length ends with its connection, and the request counted as sent once the kernel had taken it: send buffers grow to megabytes, so that an upload of which nothing was read counted as sent.

Connections to upstreams have a send buffer of 128 KiB. The client fails a call whose answer ends while its request is being written; the attempt may have run, so that a request which must not be repeated gets 502.

--- a/server/src/main/java/org/clementinequay/server/gateway/JettyFactory.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/JettyFactory.java
@@ -55,6 +55,12 @@
 
   private static final int MAX_CONNECTIONS_PER_UPSTREAM = 64;
 
+  /**
+   * Send buffer of upstream connections in bytes. What is in it counts as sent, also if the
+   * upstream has read none of it when it ends its answer.
+   */
+  private static final int UPSTREAM_SEND_BUFFER_BYTES = 128 * 1024;
+
   private JettyFactory() {}
 
   /**
@@ -106,6 +112,7 @@
   static HttpClient newClient(String name, ConnectionLimit limit) {
     ClientConnector connector = new ResetAwareConnector(limit);
     connector.setSelectors(1);
+    connector.setSendBufferSize(UPSTREAM_SEND_BUFFER_BYTES);
     QueuedThreadPool threads = new QueuedThreadPool(CLIENT_THREADS, KEPT_THREADS);
     threads.setName(name);
     threads.setReservedThreads(RESERVED_THREADS);
