Do not pass on answers with a status that HTTP does not define

Callers got the status 600 or 999 of an upstream in trouble as an answer. 000, 0, 099 and 00200 were failures already, as the parser of the client rejects them; above 599 nothing did.

A status outside 200 to 599 fails the attempt, which may have run.

AnswerHeadTest.WithoutStatus failed on for 600 and 999, which were passed on, and held for the other four lines.

--- a/server/src/main/java/org/clementinequay/server/gateway/AnswerJudge.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/AnswerJudge.java
@@ -9,6 +9,7 @@
 final class AnswerJudge {
   static final int OK = 200;
   private static final int SERVER_ERROR = 500;
+  private static final int LAST_STATUS = 599;
 
   /**
    * Statuses from which callers conclude that the request has not run. They are not passed on
@@ -45,6 +46,11 @@
     return response.requestId().equals(request.id()) && (response.sealed() || !response.success());
   }
 
+  /** Returns whether HTTP defines a class for the status of a final response. */
+  static boolean hasFinalStatus(ResponseHead response) {
+    return response.status() >= OK && response.status() <= LAST_STATUS;
+  }
+
   /** Returns whether a success has an encoding; callers request none. */
   static boolean isEncoded(ResponseHead response, HttpFields headers) {
     return response.success() && headers.contains(HttpHeader.CONTENT_ENCODING);
--- a/server/src/main/java/org/clementinequay/server/gateway/GatewayAttempt.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/GatewayAttempt.java
@@ -120,6 +120,10 @@
     }
     silence.recordReceived();
     ResponseHead response = gateway.protocol.decodeResponse(status, headers);
+    if (!AnswerJudge.hasFinalStatus(response)) {
+      abandonAndFail("response with status " + status);
+      return;
+    }
     if (!judge.isOwn(response)) {
       abandonAndFail("response to another request, or without authentication code");
       return;
