Send no requests to an upstream that says it is leaving

An upstream says in its answers that it is leaving; the host knew it only from the list, which is old while the store does not answer.

The statement is recorded for the process that made it, and outlives the list until the process is replaced.

--- a/core/src/main/java/org/clementinequay/core/forward/InstanceDirectory.java
+++ b/core/src/main/java/org/clementinequay/core/forward/InstanceDirectory.java
@@ -96,6 +96,20 @@
     return new Changes(added, removed, afterOutage);
   }
 
+  /**
+   * Records that an upstream has stated itself that it is leaving, which outlives the list.
+   *
+   * @return whether this was not known
+   */
+  public boolean recordLeaving(UpstreamInstance instance) {
+    UpstreamInstance known = instances.get(instance.id());
+    if (known == null || known.leaving() || !known.isSameProcess(instance)) {
+      return false;
+    }
+    instances.put(known.id(), known.asLeaving());
+    return true;
+  }
+
   private void addDeparted(UpstreamInstance instance) {
     departed.remove(instance.id());
     departed.put(instance.id(), instance);
--- a/core/src/main/java/org/clementinequay/core/forward/UpstreamInstance.java
+++ b/core/src/main/java/org/clementinequay/core/forward/UpstreamInstance.java
@@ -40,6 +40,12 @@
     this(id, service, address, domain, version, slots, leaving, startMillis, COLD_UNKNOWN);
   }
 
+  /** Returns this entry for an upstream that is leaving. */
+  public UpstreamInstance asLeaving() {
+    return new UpstreamInstance(
+        id, service, address, domain, version, slots, true, startMillis, coldMillis);
+  }
+
   /** Returns whether the other entry describes the same process, not an earlier or later one. */
   public boolean isSameProcess(UpstreamInstance other) {
     return id.equals(other.id) && startMillis == other.startMillis && address.equals(other.address);
--- a/core/src/test/java/org/clementinequay/core/forward/InstanceDirectoryTest.java
+++ b/core/src/test/java/org/clementinequay/core/forward/InstanceDirectoryTest.java
@@ -51,6 +51,21 @@
       assertEquals(available(directory).size(), 1);
     }
 
+    // Guards against a host whose list is old and still names the upstream as available (review/9).
+    @Test
+    public void upstreamThatStatesItselfThatItIsLeavingStaysUnavailable() {
+      assertTrue(directory.recordLeaving(instance("x", false)));
+      assertFalse(directory.recordLeaving(instance("x", false)));
+      assertEquals(available(directory), List.of(instance("y", false)));
+      directory.update(List.of(instance("x", false), instance("y", false)), NONE_ACTIVE, SECOND);
+      assertEquals(available(directory), List.of(instance("y", false)));
+      UpstreamInstance restarted =
+          new UpstreamInstance("x", "s", "10.0.0.1:80", "a", "v1", 4, false, 9);
+      assertFalse(directory.recordLeaving(restarted));
+      directory.update(List.of(restarted), NONE_ACTIVE, 2 * SECOND);
+      assertEquals(available(directory), List.of(restarted));
+    }
+
     @Test
     public void restartedProcessWithTheSameIdIsAvailable() {
       directory.update(List.of(instance("x", true)), NONE_ACTIVE, SECOND);
--- a/server/src/main/java/org/clementinequay/server/gateway/Gateway.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/Gateway.java
@@ -219,6 +219,14 @@
     }
   }
 
+  /** Records that an upstream states in an answer that it is leaving; it gets no new requests. */
+  synchronized void recordLeaving(UpstreamInstance instance) {
+    if (directory.recordLeaving(instance)) {
+      refreshAvailable();
+      log.record("upstream_leaves", "id", instance.id(), "service", instance.service());
+    }
+  }
+
   /** Records an entry that is new or changed; an engine that restarted has nothing in its cache. */
   private void recordStart(UpstreamInstance instance) {
     Long before = startById.put(instance.id(), instance.startMillis());
--- a/server/src/main/java/org/clementinequay/server/gateway/GatewayAttempt.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/GatewayAttempt.java
@@ -115,11 +115,14 @@
   }
 
   private void handleHead(int status, HttpFields headers) {
+    ResponseHead response = gateway.protocol.decodeResponse(status, headers);
+    if (response.leaving() && !response.misdirected()) {
+      gateway.recordLeaving(instance);
+    }
     if (!isActive()) {
       return;
     }
     silence.recordReceived();
-    ResponseHead response = gateway.protocol.decodeResponse(status, headers);
     if (!AnswerJudge.hasFinalStatus(response)) {
       abandonAndFail("response with status " + status);
       return;
--- a/server/src/main/java/org/clementinequay/server/gateway/ResponseHead.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/ResponseHead.java
@@ -12,6 +12,7 @@
  * @param notRun whether the upstream states that it has not run the request and never will
  * @param misdirected whether another process than the expected instance responded
  * @param sealed whether the response has the upstream's message authentication code
+ * @param leaving whether the upstream states that it will stop soon and wants no new requests
  * @param confidence confidence that the model assigns to its answer, 0 to 100; empty if it has none
  * @param returned headers that are returned to the caller
  */
@@ -21,6 +22,7 @@
     boolean notRun,
     boolean misdirected,
     boolean sealed,
+    boolean leaving,
     OptionalInt confidence,
     HttpFields returned) {
   boolean success() {
--- a/server/src/test/java/org/clementinequay/server/gateway/GatewayFixture.java
+++ b/server/src/test/java/org/clementinequay/server/gateway/GatewayFixture.java
@@ -333,6 +333,7 @@
           headers.contains("not-run"),
           status == 421,
           !headers.contains("unsealed"),
+          headers.contains("leaving"),
           confidence == null ? OptionalInt.empty() : OptionalInt.of(Integer.parseInt(confidence)),
           headers);
     }
--- a/server/src/test/java/org/clementinequay/server/gateway/RequestForwarderTest.java
+++ b/server/src/test/java/org/clementinequay/server/gateway/RequestForwarderTest.java
@@ -65,6 +65,19 @@
       assertEquals(fixture.response.status, 0);
     }
 
+    // Guards against requests to an upstream that has said in an answer that it is leaving, while
+    // the list, which is old, names it as available.
+    @Test
+    public void requestIsNotSentToAnUpstreamThatSaidThatItIsLeaving() {
+      String first = fixture.lastAttempt().headers.get("instance");
+      HttpFields answer = HttpFields.build(GatewayFixture.ownRequestId()).put("leaving", "1");
+      fixture.lastAttempt().respond(200, answer, "ok");
+      assertEquals(fixture.response.body.toString(), "ok");
+      assertFalse(
+          fixture.gateway.available("s").stream().anyMatch(other -> other.id().equals(first)));
+      assertEquals(fixture.gateway.available("s").size(), 2);
+    }
+
     @Test
     public void unreachableUpstreamIsReplaced() {
       fixture.lastAttempt().fail(false);
