Bound what a host holds of all unfinished answers

A single event or body was bounded at 1 MiB, in an array of up to twice that, their sum was not, and the buffer of a long event was kept until the end of its request.

Ordinary answers are small and outlast those without end. Buffers of long events are not kept.

--- a/core/src/main/java/org/clementinequay/core/dispatch/EventSplitter.java
+++ b/core/src/main/java/org/clementinequay/core/dispatch/EventSplitter.java
@@ -17,6 +17,10 @@
   static final int MAX_REPEATED_BYTES = 1 << 20;
 
   private static final int INITIAL_BYTES = 1024;
+
+  /** Size up to which the buffer is kept for the next event. */
+  private static final int MAX_KEPT_BYTES = 16 << 10;
+
   private static final byte[] ID_FIELD = "id:".getBytes(StandardCharsets.US_ASCII);
 
   private byte[] buffer = new byte[INITIAL_BYTES];
@@ -46,6 +50,18 @@
   /** Discards the buffered bytes of an incomplete event. */
   public void discardPartialEvent() {
     end = 0;
+    shrink();
+  }
+
+  /** Returns the bytes of memory that the buffer takes. */
+  public int bufferBytes() {
+    return buffer.length;
+  }
+
+  private void shrink() {
+    if (end == 0 && buffer.length > MAX_KEPT_BYTES) {
+      buffer = new byte[INITIAL_BYTES];
+    }
   }
 
   /**
@@ -77,6 +93,7 @@
     if (end > MAX_EVENT_BYTES) {
       throw new CorruptStreamException("event is longer than " + MAX_EVENT_BYTES + " bytes");
     }
+    shrink();
     return events;
   }
 
--- a/core/src/test/java/org/clementinequay/core/dispatch/EventSplitterTest.java
+++ b/core/src/test/java/org/clementinequay/core/dispatch/EventSplitterTest.java
@@ -46,6 +46,18 @@
       assertEquals(feed(splitter, event), event);
     }
 
+    // Guards against the memory of a long event that is kept until the end of the request.
+    @Test
+    public void bufferOfALongEventIsNotKept() throws CorruptStreamException {
+      String event = "id: 1\ndata: " + "a".repeat(200_000) + "\n\n";
+      assertEquals(feed(splitter, event), event);
+      assertTrue(splitter.bufferBytes() < 20_000);
+      feed(splitter, "id: 2\ndata: " + "b".repeat(200_000));
+      assertTrue(splitter.bufferBytes() > 200_000);
+      splitter.discardPartialEvent();
+      assertTrue(splitter.bufferBytes() < 20_000);
+    }
+
     @Test
     public void missingEventIsCorrupt() {
       assertThrows(CorruptStreamException.class, () -> feed(splitter, "id: 2\ndata: a\n\n"));
--- a/server/src/main/java/org/clementinequay/server/gateway/Gateway.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/Gateway.java
@@ -20,6 +20,7 @@
 import org.clementinequay.core.admission.FullUpstreams;
 import org.clementinequay.core.admission.WaitingRequests;
 import org.clementinequay.core.coldstart.ColdStartLimiter;
+import org.clementinequay.core.dispatch.AnswerBudget;
 import org.clementinequay.core.dispatch.RetryWindow;
 import org.clementinequay.core.dispatch.UpstreamHealthTracker;
 import org.clementinequay.core.evacuation.AllowedRegions;
@@ -107,6 +108,7 @@
 
   private final IntSupplier listedHosts;
   final CrashGuard crashGuard;
+  final AnswerBudget answerBudget = AnswerBudget.ofHeap(Runtime.getRuntime().maxMemory());
   final RandomGenerator random;
   final String hostName;
   final String domain;
--- a/server/src/main/java/org/clementinequay/server/gateway/GatewayAttempt.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/GatewayAttempt.java
@@ -3,6 +3,7 @@
 import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
 import org.clementinequay.core.cascade.EscalationRule;
+import org.clementinequay.core.dispatch.AnswerBudget;
 import org.clementinequay.core.dispatch.CorruptStreamException;
 import org.clementinequay.core.forward.UpstreamInstance;
 import org.clementinequay.core.placement.EngineSelector;
@@ -16,13 +17,16 @@
  * One attempt to get a response to a request from one upstream. Its state is guarded by the lock of
  * the forwarder.
  */
-final class GatewayAttempt implements UpstreamListener {
+final class GatewayAttempt implements UpstreamListener, AnswerBudget.Holder {
   /**
    * Largest response body that is buffered, in bytes; streams are relayed without this limit. Some
    * dozens of such bodies fit into the heap of the smallest hosts.
    */
   private static final int MAX_BUFFERED_BODY_BYTES = 1 << 20;
 
+  /** Bytes of an unfinished answer that are not counted: ordinary events take no lock. */
+  private static final int MAX_UNCOUNTED_BYTES = 16 << 10;
+
   /** Confidence of a response that states none. */
   private static final int DEFAULT_CONFIDENCE = 100;
 
@@ -45,6 +49,7 @@
   private boolean framed;
 
   private boolean released;
+  private long countedBytes;
 
   /** Whether the upstream may have received the request. */
   boolean maybeSent;
@@ -81,6 +86,7 @@
         recordTokenTime();
       }
       gateway.engineSelector.recordEnd(choice);
+      hold(0);
       forwarder.openCalls.add(gateway::recheckWaiting);
     }
   }
@@ -249,7 +255,9 @@
     }
     try {
       boolean begun = relay.begun();
-      if (relay.relay(head, bytes, next)) {
+      boolean relayed = relay.relay(head, bytes, next);
+      hold(forwarder.events.bufferBytes());
+      if (relayed) {
         if (!begun) {
           gateway.firstEventTimes.record(forwarder.service, ageMillis(), gateway.clock.nanoTime());
         }
@@ -269,6 +277,31 @@
       return;
     }
     bufferedBody.writeBytes(part);
+    // The array may be twice as long.
+    hold(2L * bufferedBody.size());
+  }
+
+  /** Counts the bytes that this attempt holds of its answer, unless they are few. */
+  private void hold(long bytes) {
+    long counted = bytes > MAX_UNCOUNTED_BYTES ? bytes : 0;
+    if (counted == countedBytes) {
+      return;
+    }
+    countedBytes = counted;
+    for (AnswerBudget.Holder other : gateway.answerBudget.resize(this, counted)) {
+      // Others have locks of their own.
+      forwarder.openCalls.add(other::giveWay);
+    }
+  }
+
+  @Override
+  public void giveWay() {
+    forwarder.update(
+        () -> {
+          if (isActive()) {
+            abandonAndFail("too much is held of unfinished answers");
+          }
+        });
   }
 
   @Override
--- a/server/src/main/java/org/clementinequay/server/gateway/GatewayGauges.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/GatewayGauges.java
@@ -41,6 +41,8 @@
     metrics.registerGauge(
         "clementinequay_engine_load_hosts_heard",
         () -> gateway.engineSelector.exchange().heardHosts(gateway.clock.nanoTime()));
+    metrics.registerGauge("clementinequay_answer_bytes", gateway.answerBudget::bytes);
+    metrics.registerGauge("clementinequay_answers_displaced", gateway.answerBudget::displaced);
     metrics.registerGauge("clementinequay_long_prompt_engines", () -> longPromptEngines(gateway));
     for (EngineSelector.Basis basis : EngineSelector.Basis.values()) {
       metrics.registerGauge(
