--- a/server/src/main/java/org/clementinequay/server/gateway/CallerLimitSettings.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/CallerLimitSettings.java
@@ -9,7 +9,7 @@
 import java.util.regex.Pattern;
 import org.clementinequay.core.ingress.IngressLimits;
 
-/** Limits of what callers may take of this process, from its settings and its machine. */
+/** Limits of connections and of what callers may hold, from the settings and the machine. */
 final class CallerLimitSettings {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
