Drop the trailer fields of requests

Callers saw closed and then refused connections: the host ended with an OutOfMemoryError. A body in chunks may end with trailer fields, up to 64 KiB of them as the HTTP library bounds them like a head. It keeps each as an object, more than 1 MB for 10,000 short ones, and the caller budget counts neither: it counts the head, and of the body its content.

Nothing in the host reads trailers, and RFC 9110, section 6.5.1, lets a recipient discard them, so that they are dropped as they are parsed. A malformed one is still answered 400.

--- a/server/src/main/java/org/clementinequay/server/gateway/CallerConnectionFactory.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/CallerConnectionFactory.java
@@ -1,6 +1,7 @@
 package org.clementinequay.server.gateway;
 
 import java.util.concurrent.Executor;
+import org.eclipse.jetty.http.HttpField;
 import org.eclipse.jetty.io.Connection;
 import org.eclipse.jetty.io.EndPoint;
 import org.eclipse.jetty.server.Connector;
@@ -22,6 +23,17 @@
           protected Executor getExecutor() {
             return ((CloseAwareEndPoint) endPoint).executor();
           }
+
+          @Override
+          protected RequestHandler newRequestHandler() {
+            return new TrailerDropper();
+          }
+
+          /** Drops trailer fields, which nothing reads and no budget counts. */
+          private final class TrailerDropper extends RequestHandler {
+            @Override
+            public void parsedTrailer(HttpField trailer) {}
+          }
         };
     connection.setTransferEncodingChunkMaxLength(getTransferEncodingChunkMaxLength());
     return configure(connection, connector, endPoint);
