--- a/server/src/main/java/org/clementinequay/server/gateway/ResetAwareConnector.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/ResetAwareConnector.java
@@ -18,8 +18,9 @@
 import org.eclipse.jetty.util.thread.Scheduler;
 
 /**
- * Connects to upstreams and distinguishes a connection reset from an orderly close. Jetty reports
- * both as end of input, so a response without a length would look complete after a reset.
+ * Connects to upstreams within the limit of the host, and distinguishes a connection reset from an
+ * orderly close. Jetty reports both as end of input, so a response without a length would look
+ * complete after a reset.
  */
 final class ResetAwareConnector extends PlainConnector {
   private static final long WAIT_POLL_MILLIS = 5;
