--- a/server/src/main/java/org/clementinequay/server/gateway/CallerLimitSettings.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/CallerLimitSettings.java
@@ -25,25 +25,18 @@
   /** Divisor of the connections of callers that gives those of the other listeners. */
   private static final int READY_DIVISOR = 8;
 
-  /** Part of the descriptors for callers and upstreams; the rest is for peers and files. */
-  private static final double CONNECTION_FRACTION = 0.9;
-
   private CallerLimitSettings() {}
 
-  private static IngressLimits machine() {
-    return IngressLimits.ofMachine(Runtime.getRuntime().maxMemory(), maxDescriptors());
-  }
-
   /** Returns the number of connections that may be open to all upstreams. */
   static int upstreamConnections(GatewaySettings settings) {
-    long left = (long) (maxDescriptors() * CONNECTION_FRACTION) - machine().maxConnections();
     return (int)
-        orDefault("maxUpstreamConnections", settings.maxUpstreamConnections(), Math.max(1, left));
+        orDefault("maxUpstreamConnections", settings.maxUpstreamConnections(), Integer.MAX_VALUE);
   }
 
   /** Returns the limits of the listener for callers. */
   static IngressLimits callers(GatewaySettings settings) {
-    IngressLimits machine = machine();
+    IngressLimits machine =
+        IngressLimits.ofMachine(Runtime.getRuntime().maxMemory(), maxDescriptors());
     int connections =
         (int) orDefault("maxConnections", settings.maxConnections(), machine.maxConnections());
     int perAddress =
