Remember what a leaving upstream says while the list does not name it

Callers' requests reached an upstream that had said in an answer that it leaves: its entry was removed, the answers that were under way came later, and the entry was listed again.

Cause: InstanceDirectory kept the statement in the entry and ignored it when the list did not name the process. The log gave no sign of it, so upstream_leaves now tells whether the process was listed.

Change: LeavingProcesses keeps the processes known to leave, from the list or their answers, apart from the entries. It forgets beyond 256 unlisted upstreams, those first that were not listed for the longest time; before, departures of upstreams that were not leaving filled the same 256 places.

A removed assertion of upstreamThatStatesItselfThatItIsLeavingStaysUnavailable asked that the statement of a process that is not listed be ignored, which is the fault. In its place the statement must be recorded, hold for its process and for no other one.

--- a/core/src/main/java/org/clementinequay/core/forward/InstanceDirectory.java
+++ b/core/src/main/java/org/clementinequay/core/forward/InstanceDirectory.java
@@ -4,7 +4,6 @@
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -18,16 +17,13 @@
  * missing entries distinguishes the two cases: an outage of the store stops the heartbeats of all
  * upstreams, whereas few upstreams leave during a partition. An upstream that sent something to
  * this host shortly before the store became reachable was partitioned together with this host and
- * is retained as well. An upstream that was seen leaving never becomes available again, even if an
- * older reading lists it as available. Not thread-safe.
+ * is retained as well. An upstream that was seen leaving, in the list or in an answer of its own,
+ * never becomes available again, even if a reading lists it as available. Not thread-safe.
  */
 public final class InstanceDirectory {
   /** Time without a reading that counts as an outage, in nanoseconds: two missed heartbeats. */
   static final long OUTAGE_THRESHOLD_NANOS = 2_500_000_000L;
 
-  /** Maximum number of departed upstreams kept; an older reading is late by seconds at most. */
-  private static final int MAX_DEPARTED = 256;
-
   /**
    * Time after an outage for which missing entries are retained, in nanoseconds. The platform's
    * documentation states that entries are written again within two seconds. The first reading after
@@ -37,7 +33,7 @@
   static final long RETENTION_NANOS = 2_050_000_000L;
 
   private final Map<String, UpstreamInstance> instances = new HashMap<>();
-  private final Map<String, UpstreamInstance> departed = new LinkedHashMap<>();
+  private final LeavingProcesses leavingProcesses = new LeavingProcesses();
   private long lastReadNanos;
   private final Set<String> retainedIds = new HashSet<>();
   private long retainUntilNanos;
@@ -72,7 +68,11 @@
     lastReadNanos = nowNanos;
     Map<String, UpstreamInstance> next = new HashMap<>();
     for (UpstreamInstance instance : listed) {
-      next.put(instance.id(), withKnownDeparture(instance));
+      if (instance.leaving()) {
+        leavingProcesses.add(instance);
+      }
+      boolean leaving = leavingProcesses.contains(instance);
+      next.put(instance.id(), leaving ? instance.asLeaving() : instance);
     }
     List<UpstreamInstance> removed = new ArrayList<>();
     for (UpstreamInstance previous : instances.values()) {
@@ -81,7 +81,6 @@
           next.put(previous.id(), previous);
         } else {
           removed.add(previous);
-          addDeparted(previous);
         }
       }
     }
@@ -93,29 +92,28 @@
     }
     instances.clear();
     instances.putAll(next);
+    leavingProcesses.trim(next.keySet());
     return new Changes(added, removed, afterOutage);
   }
 
   /**
-   * Records that an upstream has stated itself that it is leaving, which outlives the list.
+   * Records that an upstream has stated itself that it is leaving. This holds for its process, also
+   * while the list does not name it.
    *
    * @return whether this was not known
    */
   public boolean recordLeaving(UpstreamInstance instance) {
-    UpstreamInstance known = instances.get(instance.id());
-    if (known == null || known.leaving() || !known.isSameProcess(instance)) {
-      return false;
+    boolean recorded = leavingProcesses.add(instance);
+    if (isListed(instance)) {
+      instances.computeIfPresent(instance.id(), (id, listed) -> listed.asLeaving());
     }
-    instances.put(known.id(), known.asLeaving());
-    return true;
+    return recorded;
   }
 
-  private void addDeparted(UpstreamInstance instance) {
-    departed.remove(instance.id());
-    departed.put(instance.id(), instance);
-    if (departed.size() > MAX_DEPARTED) {
-      departed.remove(departed.keySet().iterator().next());
-    }
+  /** Returns whether the list names the process. */
+  public boolean isListed(UpstreamInstance instance) {
+    UpstreamInstance listed = instances.get(instance.id());
+    return listed != null && listed.isSameProcess(instance);
   }
 
   private void retainMissing(
@@ -131,20 +129,6 @@
     }
   }
 
-  private UpstreamInstance withKnownDeparture(UpstreamInstance instance) {
-    UpstreamInstance known = instances.get(instance.id());
-    if (known != null && known.leaving() && known.isSameProcess(instance)) {
-      return known;
-    }
-    UpstreamInstance departedInstance = departed.get(instance.id());
-    if (departedInstance != null
-        && departedInstance.leaving()
-        && departedInstance.isSameProcess(instance)) {
-      return departedInstance;
-    }
-    return instance;
-  }
-
   /** Returns the upstreams that accept new requests, by name of their service. */
   public Map<String, List<UpstreamInstance>> available() {
     Map<String, List<UpstreamInstance>> result = new HashMap<>();
--- a/core/src/test/java/org/clementinequay/core/forward/InstanceDirectoryTest.java
+++ b/core/src/test/java/org/clementinequay/core/forward/InstanceDirectoryTest.java
@@ -17,6 +17,10 @@
   private static final long SECOND = 1_000_000_000L;
   private static final Predicate<String> NONE_ACTIVE = id -> false;
 
+  /** Later process with the id and the address of {@code instance("x", false)}. */
+  private static final UpstreamInstance RESTARTED =
+      new UpstreamInstance("x", "s", "10.0.0.1:80", "a", "v1", 4, false, 9);
+
   private static UpstreamInstance instance(String id, boolean leaving) {
     return new UpstreamInstance(id, "s", "10.0.0.1:80", "a", "v1", 4, leaving, 7);
   }
@@ -59,20 +63,57 @@
       assertEquals(available(directory), List.of(instance("y", false)));
       directory.update(List.of(instance("x", false), instance("y", false)), NONE_ACTIVE, SECOND);
       assertEquals(available(directory), List.of(instance("y", false)));
-      UpstreamInstance restarted =
-          new UpstreamInstance("x", "s", "10.0.0.1:80", "a", "v1", 4, false, 9);
-      assertFalse(directory.recordLeaving(restarted));
-      directory.update(List.of(restarted), NONE_ACTIVE, 2 * SECOND);
-      assertEquals(available(directory), List.of(restarted));
+      directory.update(List.of(RESTARTED), NONE_ACTIVE, 2 * SECOND);
+      assertEquals(available(directory), List.of(RESTARTED));
+    }
+
+    // Guards against a statement that is lost because it comes after the entry was removed.
+    @Test
+    public void statementOfAnUpstreamThatIsNotListedHoldsWhenItIsListedAgain() {
+      directory.update(List.of(instance("y", false)), NONE_ACTIVE, SECOND);
+      assertTrue(directory.recordLeaving(instance("x", false)));
+      assertFalse(directory.isListed(instance("x", false)));
+      directory.update(
+          List.of(instance("x", false), instance("y", false)), NONE_ACTIVE, 2 * SECOND);
+      assertEquals(available(directory), List.of(instance("y", false)));
+      assertFalse(directory.recordLeaving(instance("x", false)));
+    }
+
+    // Guards against a late answer of an earlier process that takes the new one out of service, or
+    // that brings back an earlier one.
+    @Test
+    public void statementHoldsForTheProcessThatMadeItOnly() {
+      directory.update(List.of(RESTARTED), NONE_ACTIVE, SECOND);
+      assertTrue(directory.recordLeaving(instance("x", false)));
+      assertEquals(available(directory), List.of(RESTARTED));
+      assertTrue(directory.recordLeaving(RESTARTED));
+      directory.update(List.of(instance("x", false)), NONE_ACTIVE, 2 * SECOND);
+      assertTrue(available(directory).isEmpty());
+      directory.update(List.of(RESTARTED), NONE_ACTIVE, 3 * SECOND);
+      assertTrue(available(directory).isEmpty());
+    }
+
+    // Guards against forgetting an upstream that leaves while hundreds of others come and go.
+    @Test
+    public void statementOutlivesTheDepartureOfManyOthers() {
+      assertTrue(directory.recordLeaving(instance("x", false)));
+      for (int i = 0; i < 4 * LeavingProcesses.MAX_UNLISTED; i++) {
+        directory.update(
+            List.of(instance("x", false), instance("z" + i, i % 2 == 0)), NONE_ACTIVE, SECOND);
+      }
+      assertFalse(available(directory).contains(instance("x", false)));
+      for (int i = 1; i < LeavingProcesses.MAX_UNLISTED; i++) {
+        directory.update(List.of(instance("w" + i, true)), NONE_ACTIVE, SECOND);
+      }
+      directory.update(List.of(instance("x", false)), NONE_ACTIVE, SECOND);
+      assertTrue(available(directory).isEmpty());
     }
 
     @Test
     public void restartedProcessWithTheSameIdIsAvailable() {
       directory.update(List.of(instance("x", true)), NONE_ACTIVE, SECOND);
-      UpstreamInstance restarted =
-          new UpstreamInstance("x", "s", "10.0.0.1:80", "a", "v1", 4, false, 9);
-      directory.update(List.of(restarted), NONE_ACTIVE, 2 * SECOND);
-      assertEquals(available(directory), List.of(restarted));
+      directory.update(List.of(RESTARTED), NONE_ACTIVE, 2 * SECOND);
+      assertEquals(available(directory), List.of(RESTARTED));
     }
   }
 
--- a/server/src/main/java/org/clementinequay/server/gateway/Gateway.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/Gateway.java
@@ -141,16 +141,13 @@
     this.health = new UpstreamHealthTracker(clock, MAX_PROBE_DELAY);
     this.crashGuard = new CrashGuard(clock);
     this.regionByDomain = Map.copyOf(builder.regionByDomain);
-    this.coldStarts = builder.coldStarts.orElseGet(() -> noColdStartLimit(hostName));
+    this.coldStarts =
+        builder.coldStarts.orElseGet(() -> new ColdStartLimiter(hostName, Optional.empty()));
     this.waiting = new WaitingRequests<>(builder.maxWaitingRequests);
     this.reachability = Optional.ofNullable(builder.reachability);
     this.listedHosts = builder.listedHosts;
   }
 
-  private static ColdStartLimiter noColdStartLimit(String host) {
-    return new ColdStartLimiter(host, Optional.empty());
-  }
-
   public static Builder builder() {
     return new Builder();
   }
@@ -225,7 +222,14 @@
   synchronized void recordLeaving(UpstreamInstance instance) {
     if (directory.recordLeaving(instance)) {
       refreshAvailable();
-      log.record("upstream_leaves", "id", instance.id(), "service", instance.service());
+      log.record(
+          "upstream_leaves",
+          "id",
+          instance.id(),
+          "service",
+          instance.service(),
+          "listed",
+          directory.isListed(instance));
     }
   }
 
