Do not take an entry without a start time for one of a new process

Callers' requests reached an upstream that had said that it leaves, after its entry had been written again without the start time of its process, as another writer may do.

Cause: the directory compared start times, and a missing one (0) differs from a known one, so the entry counted as one of a new process.

InstanceDirectoryTest.statementHoldsForAnEntryWithoutAStartTime fails with the old comparison ("expected [true] but found [false]").

Such an entry may describe any process with its id and address, so it no longer brings a leaving one back. An entry with a start time of its own does, also after one without, so that a restarted upstream is served.

--- a/core/src/main/java/org/clementinequay/core/forward/InstanceDirectory.java
+++ b/core/src/main/java/org/clementinequay/core/forward/InstanceDirectory.java
@@ -71,8 +71,7 @@
       if (instance.leaving()) {
         leavingProcesses.add(instance);
       }
-      boolean leaving = leavingProcesses.contains(instance);
-      next.put(instance.id(), leaving ? instance.asLeaving() : instance);
+      next.put(instance.id(), withKnownState(instance));
     }
     List<UpstreamInstance> removed = new ArrayList<>();
     for (UpstreamInstance previous : instances.values()) {
@@ -104,12 +103,14 @@
    */
   public boolean recordLeaving(UpstreamInstance instance) {
     boolean recorded = leavingProcesses.add(instance);
-    if (isListed(instance)) {
-      instances.computeIfPresent(instance.id(), (id, listed) -> listed.asLeaving());
-    }
+    instances.computeIfPresent(instance.id(), (id, listed) -> withKnownState(listed));
     return recorded;
   }
 
+  private UpstreamInstance withKnownState(UpstreamInstance listed) {
+    return leavingProcesses.contains(listed) ? listed.asLeaving() : listed;
+  }
+
   /** Returns whether the list names the process. */
   public boolean isListed(UpstreamInstance instance) {
     UpstreamInstance listed = instances.get(instance.id());
--- a/core/src/main/java/org/clementinequay/core/forward/LeavingProcesses.java
+++ b/core/src/main/java/org/clementinequay/core/forward/LeavingProcesses.java
@@ -37,10 +37,10 @@
     return true;
   }
 
-  /** Returns whether the process that an entry describes is known to leave. */
+  /** Returns whether the process that an entry describes, or may describe, is known to leave. */
   boolean contains(UpstreamInstance instance) {
     for (UpstreamInstance process : processesById.getOrDefault(instance.id(), List.of())) {
-      if (process.isSameProcess(instance)) {
+      if (instance.mayBeProcess(process)) {
         return true;
       }
     }
--- a/core/src/main/java/org/clementinequay/core/forward/UpstreamInstance.java
+++ b/core/src/main/java/org/clementinequay/core/forward/UpstreamInstance.java
@@ -10,7 +10,8 @@
  * @param version software version
  * @param slots requests that it runs concurrently
  * @param leaving whether it will stop soon and accepts no new requests
- * @param startMillis start time as Unix time in milliseconds; 0 if not reported
+ * @param startMillis start time as Unix time in milliseconds; {@link #START_UNKNOWN} if the entry
+ *     does not tell
  * @param coldMillis how long it stays cold from the time of the entry on, in milliseconds; {@link
  *     #COLD_UNKNOWN} if the entry does not tell
  */
@@ -27,6 +28,9 @@
   /** Value of {@code coldMillis} if the entry does not tell. */
   public static final long COLD_UNKNOWN = -1;
 
+  /** Value of {@code startMillis} if the entry does not tell. */
+  public static final long START_UNKNOWN = 0;
+
   /** Creates an entry that does not tell how long the upstream stays cold. */
   public UpstreamInstance(
       String id,
@@ -50,4 +54,13 @@
   public boolean isSameProcess(UpstreamInstance other) {
     return id.equals(other.id) && startMillis == other.startMillis && address.equals(other.address);
   }
+
+  /**
+   * Returns whether this entry may describe the process of the other one. An entry without a start
+   * time may describe any process with its id and address.
+   */
+  boolean mayBeProcess(UpstreamInstance other) {
+    return isSameProcess(other)
+        || startMillis == START_UNKNOWN && id.equals(other.id) && address.equals(other.address);
+  }
 }
--- a/core/src/test/java/org/clementinequay/core/forward/InstanceDirectoryTest.java
+++ b/core/src/test/java/org/clementinequay/core/forward/InstanceDirectoryTest.java
@@ -93,6 +93,21 @@
       assertTrue(available(directory).isEmpty());
     }
 
+    // Guards against taking an entry that lacks the start time for one of a new process.
+    @Test
+    public void statementHoldsForAnEntryWithoutAStartTime() {
+      UpstreamInstance withoutStart =
+          new UpstreamInstance(
+              "x", "s", "10.0.0.1:80", "a", "v1", 4, false, UpstreamInstance.START_UNKNOWN);
+      directory.update(List.of(withoutStart), NONE_ACTIVE, SECOND);
+      assertTrue(directory.recordLeaving(instance("x", false)));
+      assertTrue(available(directory).isEmpty());
+      directory.update(List.of(withoutStart), NONE_ACTIVE, 2 * SECOND);
+      assertTrue(available(directory).isEmpty());
+      directory.update(List.of(RESTARTED), NONE_ACTIVE, 3 * SECOND);
+      assertEquals(available(directory), List.of(RESTARTED));
+    }
+
     // Guards against forgetting an upstream that leaves while hundreds of others come and go.
     @Test
     public void statementOutlivesTheDepartureOfManyOthers() {
