Keep a restarted upstream out until its entry is up to date

Callers' requests reached an upstream that had told the host that it leaves: while the store did not answer the host, a new process had taken the id and the address of the earlier one, and said so in its answers.

Cause: an answer carries the id but no start time. The statement counted as one of the earlier process, which the old list named, and the next list made the new one available.

A statement made since the last reading before an outage now holds for whatever process the next list names with that id and address, for the 2.05 s after which entries are up to date. A reading without an outage ends it at once, and a late answer of a process that the list no longer names does not begin it, so a restarted upstream that stays is served.

--- a/core/src/main/java/org/clementinequay/core/forward/InstanceDirectory.java
+++ b/core/src/main/java/org/clementinequay/core/forward/InstanceDirectory.java
@@ -25,7 +25,7 @@
   static final long OUTAGE_THRESHOLD_NANOS = 2_500_000_000L;
 
   /**
-   * Time after an outage for which missing entries are retained, in nanoseconds. The platform's
+   * Time after an outage for which entries may not be up to date, in nanoseconds. The platform's
    * documentation states that entries are written again within two seconds. The first reading after
    * that must not retain a missing entry, because a host counts as connected 3 s after the end of
    * its partition.
@@ -39,6 +39,12 @@
   private long retainUntilNanos;
   private boolean hasRead;
 
+  /**
+   * Addresses, by id, of listed upstreams that stated that they are leaving since the last reading,
+   * and after an outage since the last one before it.
+   */
+  private final Map<String, String> statedSinceReading = new HashMap<>();
+
   /**
    * Differences between a reading and the one before it.
    *
@@ -63,6 +69,7 @@
       retainUntilNanos = nowNanos + RETENTION_NANOS;
     } else if (nowNanos - retainUntilNanos >= 0) {
       retainedIds.clear();
+      statedSinceReading.clear();
     }
     hasRead = true;
     lastReadNanos = nowNanos;
@@ -71,7 +78,7 @@
       if (instance.leaving()) {
         leavingProcesses.add(instance);
       }
-      next.put(instance.id(), withKnownState(instance));
+      next.put(instance.id(), withStatement(instance));
     }
     List<UpstreamInstance> removed = new ArrayList<>();
     for (UpstreamInstance previous : instances.values()) {
@@ -97,18 +104,26 @@
 
   /**
    * Records that an upstream has stated itself that it is leaving. This holds for its process, also
-   * while the list does not name it.
+   * while the list does not name it. In an outage the process may have been replaced by one with
+   * the same id and address, so the statement holds for that one too until its entry must be up to
+   * date.
    *
    * @return whether this was not known
    */
   public boolean recordLeaving(UpstreamInstance instance) {
     boolean recorded = leavingProcesses.add(instance);
-    instances.computeIfPresent(instance.id(), (id, listed) -> withKnownState(listed));
+    if (recorded && isListed(instance)) {
+      statedSinceReading.put(instance.id(), instance.address());
+    }
+    instances.computeIfPresent(instance.id(), (id, listed) -> withStatement(listed));
     return recorded;
   }
 
-  private UpstreamInstance withKnownState(UpstreamInstance listed) {
-    return leavingProcesses.contains(listed) ? listed.asLeaving() : listed;
+  private UpstreamInstance withStatement(UpstreamInstance listed) {
+    boolean leaving =
+        leavingProcesses.contains(listed)
+            || listed.address().equals(statedSinceReading.get(listed.id()));
+    return leaving ? listed.asLeaving() : listed;
   }
 
   /** Returns whether the list names the process. */
--- a/core/src/test/java/org/clementinequay/core/forward/InstanceDirectoryTest.java
+++ b/core/src/test/java/org/clementinequay/core/forward/InstanceDirectoryTest.java
@@ -179,6 +179,32 @@
       assertEquals(available(partitioned).size(), 2);
     }
 
+    // Guards against requests to a new process with the id and the address of an earlier one, which
+    // said that it is leaving while the list still named the earlier process.
+    @Test
+    public void statementHoldsForARestartedProcessUntilItsEntryIsUpToDate() {
+      InstanceDirectory restarted = new InstanceDirectory();
+      restarted.update(List.of(instance("x", false)), NONE_ACTIVE, 0);
+      restarted.recordLeaving(instance("x", false));
+      restarted.update(List.of(RESTARTED), NONE_ACTIVE, 10 * SECOND);
+      assertTrue(available(restarted).isEmpty());
+      restarted.update(List.of(RESTARTED), NONE_ACTIVE, 12 * SECOND);
+      assertTrue(available(restarted).isEmpty());
+      restarted.update(List.of(RESTARTED.asLeaving()), NONE_ACTIVE, 12 * SECOND + SECOND / 10);
+      assertTrue(available(restarted).isEmpty());
+    }
+
+    // Guards against losing an upstream that only started again during the outage.
+    @Test
+    public void restartedProcessIsAvailableOnceItsEntryIsUpToDate() {
+      InstanceDirectory restarted = new InstanceDirectory();
+      restarted.update(List.of(instance("x", false)), NONE_ACTIVE, 0);
+      restarted.recordLeaving(instance("x", false));
+      restarted.update(List.of(RESTARTED), NONE_ACTIVE, 10 * SECOND);
+      restarted.update(List.of(RESTARTED), NONE_ACTIVE, 12 * SECOND + SECOND / 10);
+      assertEquals(available(restarted), List.of(RESTARTED));
+    }
+
     @Test
     public void entryThatIsNotListedAgainIsRemoved() {
       directory.update(List.of(), NONE_ACTIVE, 11 * SECOND);
