--- a/review/standins-2/Kit3.java
+++ b/review/standins-2/Kit3.java
@@ -26,7 +26,9 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -532,6 +534,7 @@
 
     private final ServerSocket listener;
     private final Script script;
+    private final Set<Socket> open = ConcurrentHashMap.newKeySet();
     final String id;
     final String address;
     final List<String> ran = new ArrayList<>();
@@ -558,10 +561,12 @@
     }
 
     private void serve(Socket socket) throws Exception {
+      open.add(socket);
+      socket.setTcpNoDelay(true);
       try (socket) {
         InputStream in = new BufferedInputStream(socket.getInputStream());
-        boolean open = true;
-        while (open) {
+        boolean kept = true;
+        while (kept) {
           Message request = read(in);
           if (!request.complete()) {
             return;
@@ -575,8 +580,19 @@
           synchronized (ran) {
             ran.add(request.field("request-id"));
           }
-          open = script.answer(this, request, socket);
+          kept = script.answer(this, request, socket);
         }
+      } finally {
+        open.remove(socket);
+      }
+    }
+
+    /** Ends as a crashed process does: its listener and all of its connections are gone. */
+    void crash() throws IOException {
+      listener.close();
+      for (Socket socket : open) {
+        socket.setSoLinger(true, 0);
+        socket.close();
       }
     }
 
