Review: give the replaced order more room in case 11

Cause: the host that is stopped must have reached the last stage of the first order; on a slow machine it may reach it later than here. Change: it is stopped 0.3 s later, the order is replaced 0.1 s later, the version turns bad 0.3 s later.

--- a/review/standins-2/ReplacedOrder.java
+++ b/review/standins-2/ReplacedOrder.java
@@ -22,10 +22,10 @@
   private static final long PACE_MILLIS = 1000;
   private static final int FIRST_SECONDS = 12;
   private static final int SECOND_SECONDS = 24;
-  private static final long FREEZE_AT_MILLIS = 7900;
+  private static final long FREEZE_AT_MILLIS = 8200;
   private static final long FREEZE_MILLIS = 4000;
-  private static final long REPLACED_AT_MILLIS = 8600;
-  private static final long BAD_AT_MILLIS = 12_500;
+  private static final long REPLACED_AT_MILLIS = 8700;
+  private static final long BAD_AT_MILLIS = 12_800;
   private static final double EXPOSURE_SHARE = 0.15;
   private static final int EXPOSURE_SLACK = 30;
 
