Review: a probe that stays open makes a host refuse a service for good

Cause: a safe call that probes an ejected upstream and is moved for its silence does not end the probe, so the upstream is never available again at that host. Tried: two of three upstreams crash for 2 s, one at a time, and are silent for 1 s at their first request; later the third one drains and leaves, and a route is added.

--- a/review/14/run.sh
+++ b/review/14/run.sh
@@ -2,8 +2,8 @@
 # Runs the case; see claim.txt. TROUBLE=0 leaves the disruption out. Needs the build of the deploy
 # file and review/build-2.sh. Exits with 1 if the rule was broken, 0 if it held, 2 if it could not run.
 cd "$(dirname "$0")/../.." || exit 2
-if [ ! -f target/clementinequay.jar ] || [ ! -f target/review-2/org/clementinequay/review3/SilentProbe.class ]; then
+if [ ! -f target/clementinequay.jar ] || [ ! -f target/review-2/org/clementinequay/review3/SmallModel.class ]; then
   echo "run the build of the deploy file and review/build-2.sh first" >&2
   exit 2
 fi
-exec java -Xmx512m -cp target/review-2 org.clementinequay.review3.SilentProbe review/14
+exec java -Xmx512m -cp target/review-2 org.clementinequay.review3.SmallModel review/14
--- a/review/standins-2/SilentProbe.java
+++ b/review/standins-2/SilentProbe.java
@@ -8,24 +8,31 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
- * A service has one server in each of three zones. Two of them crash by turns, start again under
- * their ids and are slow for some seconds. Later the third one, which is in the zone of the host,
- * drains and leaves.
+ * A service has one server in each of three zones. Two of them, one after the other, crash, start
+ * again under their ids and fall silent for a second at their first request. Later the third one,
+ * which is in the zone of the host, drains and leaves.
  */
 final class SilentProbe {
   private static final int CALLERS = 16;
-  private static final int TURNS = 3;
+  private static final int TURNS = 2;
   private static final long DOWN_MILLIS = 2000;
-  private static final long SLOW_MILLIS = 5000;
+  private static final long SILENT_MILLIS = 1000;
+  private static final long CALM_MILLIS = 6000;
   private static final long WORK_MILLIS = 43;
-  private static final int SLOW_FACTOR = 8;
 
   private static volatile boolean ended;
-  private static volatile String slowId = "";
+  /** Servers that have started again and had no request yet. */
+  private static final Set<String> fresh = ConcurrentHashMap.newKeySet();
+
+  /** Times until which servers are silent, by id. */
+  private static final Map<String, Long> silentUntil = new ConcurrentHashMap<>();
 
   private SilentProbe() {}
 
@@ -84,7 +91,7 @@
         for (int i = 0; i < TURNS * sound.size() && Kit3.trouble(); i++) {
           int index = i % sound.size();
           sound.set(index, crash(sound.get(index), store, record));
-          Kit3.sleep(SLOW_MILLIS + 500);
+          Kit3.sleep(CALM_MILLIS);
         }
         Kit3.sleep(3000);
         store.put("servers", leaving.id, leaving.entry("app", "a", "v1", "draining"));
@@ -135,25 +142,23 @@
     server.crash();
     Kit3.sleep(DOWN_MILLIS);
     String[] address = server.address.split(":");
-    slowId = server.id;
+    fresh.add(server.id);
     Kit3.Server next =
         new Kit3.Server(server.id, SilentProbe::answer, address[0], Integer.parseInt(address[1]));
     store.put("servers", next.id,
         next.entry("app", next.id.substring(2), "v1", "ready")
             .replace("1700000000000", "1700000009000"));
-    record.line("%s has started again and is slow for %d ms", next.id, SLOW_MILLIS);
-    Kit3.start(
-        "warm",
-        () -> {
-          Kit3.sleep(SLOW_MILLIS);
-          slowId = "";
-        });
+    record.line("%s has started again", next.id);
     return next;
   }
 
   private static boolean answer(Kit3.Server server, Kit3.Message request, Socket socket)
       throws IOException {
-    Kit3.sleep(WORK_MILLIS * (server.id.equals(slowId) ? SLOW_FACTOR : 1));
+    if (fresh.remove(server.id)) {
+      silentUntil.put(server.id, System.nanoTime() + SILENT_MILLIS * 1_000_000);
+    }
+    long silent = silentUntil.getOrDefault(server.id, System.nanoTime()) - System.nanoTime();
+    Kit3.sleep(WORK_MILLIS + Math.max(0, silent / 1_000_000));
     Kit3.write(socket, Kit3.head(server, request, 200, "Content-Length: 2\r\n") + "ok");
     return true;
   }
