--- a/review/standins-2/Kit3.java
+++ b/review/standins-2/Kit3.java
@@ -38,7 +38,10 @@
 /** Stand-ins and helpers of the cases review/11 to review/15. Needs the JDK only. */
 final class Kit3 {
   static final int HELD = 0;
-  static final int BROKEN = 1;
+
+  /** Not 1, which the JVM uses if it cannot start; the scripts turn it into 1. */
+  static final int BROKEN = 10;
+
   static final int COULD_NOT_RUN = 2;
 
   private static final AtomicInteger NEXT_ADDRESS = new AtomicInteger(1);
--- a/review/standins-2/ReplacedOrder.java
+++ b/review/standins-2/ReplacedOrder.java
@@ -165,7 +165,7 @@
         record.line("status: %s", status);
         if (status.contains("completed")) {
           for (Kit3.Server server : old) {
-            server.close();
+            server.crash();
             store.remove("servers", server.id);
           }
           record.line("the old servers are stopped");
--- a/review/standins-2/SilentProbe.java
+++ b/review/standins-2/SilentProbe.java
@@ -15,8 +15,8 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
- * A service has one server in each of three zones. Two of them, one after the other, crash, start
- * again under their ids and fall silent for a second at their first request. Later the third one,
+ * A service has one server in each of four zones. Three of them, one after the other, crash, start
+ * again under their ids and fall silent for a second at their first request. Later the fourth one,
  * which is in the zone of the host, drains and leaves.
  */
 final class SilentProbe {
@@ -24,10 +24,13 @@
   private static final int TURNS = 2;
   private static final long DOWN_MILLIS = 2000;
   private static final long SILENT_MILLIS = 1000;
-  private static final long CALM_MILLIS = 6000;
+  private static final long CALM_MILLIS = 4000;
   private static final long WORK_MILLIS = 43;
 
   private static volatile boolean ended;
+
+  /** Whether the server in the zone of the host says that it leaves. */
+  private static volatile boolean draining;
   /** Servers that have started again and had no request yet. */
   private static final Set<String> fresh = ConcurrentHashMap.newKeySet();
 
@@ -67,7 +70,7 @@
       Kit3.Server leaving = new Kit3.Server("s-a", SilentProbe::answer);
       store.put("servers", leaving.id, leaving.entry("app", "a", "v1", "ready"));
       List<Kit3.Server> sound = new ArrayList<>();
-      for (String zone : List.of("b", "c")) {
+      for (String zone : List.of("b", "c", "d")) {
         Kit3.Server server = new Kit3.Server("s-" + zone, SilentProbe::answer);
         store.put("servers", server.id, server.entry("app", zone, "v1", "ready"));
         sound.add(server);
@@ -94,11 +97,12 @@
           Kit3.sleep(CALM_MILLIS);
         }
         Kit3.sleep(3000);
+        draining = true;
         store.put("servers", leaving.id, leaving.entry("app", "a", "v1", "draining"));
         record.line("s-a is draining");
         Kit3.sleep(4000);
         store.remove("servers", leaving.id);
-        leaving.close();
+        leaving.crash();
         record.line("s-a has left");
         Kit3.sleep(1000);
         store.put("op", "config", manifest(8, true));
@@ -111,7 +115,7 @@
           route.counts = true;
         }
         Kit3.sleep(15_000);
-        record.line("s-b and s-c, which are ready and answer within %d ms, ran %d requests in 15 s",
+        record.line("s-b, s-c and s-d, which are ready and answer within %d ms, ran %d requests in 15 s",
             WORK_MILLIS, runs(sound) - before);
         for (Route route : List.of(first, ofApp, later)) {
           record.line("%s: %d requests, %d served", route.path, route.sent.get(), route.served.get());
@@ -159,7 +163,8 @@
     }
     long silent = silentUntil.getOrDefault(server.id, System.nanoTime()) - System.nanoTime();
     Kit3.sleep(WORK_MILLIS + Math.max(0, silent / 1_000_000));
-    Kit3.write(socket, Kit3.head(server, request, 200, "Content-Length: 2\r\n") + "ok");
+    String leaving = draining && server.id.equals("s-a") ? "Server-Leaving: 1\r\n" : "";
+    Kit3.write(socket, Kit3.head(server, request, 200, leaving + "Content-Length: 2\r\n") + "ok");
     return true;
   }
 
