Run a stream that may not be resumed on one model only

Cause: the larger model was asked for with AttemptEnd.NOT_RUN, which allows another attempt for each kind of request. NOT_RUN stood for a refusal that states that the request did not run, and for an answer that is dropped; after the latter a request that runs at most once has run.

Change: AttemptHistory knows the kind of the request and records starts and ends. It allows no further attempt of a request that runs at most once while one is running or after one that may have run it; every further attempt asks it, and recordStart throws if it was not asked. The caller of tryRetry no longer says what the last attempt meant, so that no path can say it wrongly.

Streams that may be resumed ask the larger model as before (their tests are unchanged).

--- a/server/src/main/java/org/clementinequay/server/gateway/AttemptEnd.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/AttemptEnd.java
@@ -1,7 +1,5 @@
 package org.clementinequay.server.gateway;
 
-import org.clementinequay.core.forward.RequestKind;
-
 /**
  * How an attempt ended without an answer for the caller, and what that means for another attempt.
  * The load for which they are told apart is the crash of many upstreams at once: a connection that
@@ -10,45 +8,27 @@
  */
 enum AttemptEnd {
   /** No byte of the request was sent. */
-  NOT_SENT {
-    @Override
-    boolean allowsAnother(RequestKind kind) {
-      return true;
-    }
-
-    @Override
-    boolean usesRetryBudget() {
-      return false;
-    }
-  },
-  /** The upstream stated that it did not run the request, or its answer is replaced. */
-  NOT_RUN {
-    @Override
-    boolean allowsAnother(RequestKind kind) {
-      return true;
-    }
+  NOT_SENT(false, false),
+  /** The upstream stated that it did not run the request. */
+  REJECTED(false, true),
+  /** The upstream has run the request or may run it, also if its answer was dropped. */
+  MAY_HAVE_RUN(true, true);
 
-    @Override
-    boolean usesRetryBudget() {
-      return true;
-    }
-  },
-  /** The upstream has run the request or may run it. */
-  MAY_HAVE_RUN {
-    @Override
-    boolean allowsAnother(RequestKind kind) {
-      return kind.retryable();
-    }
+  private final boolean mayHaveRun;
+  private final boolean usesRetryBudget;
 
-    @Override
-    boolean usesRetryBudget() {
-      return true;
-    }
-  };
+  AttemptEnd(boolean mayHaveRun, boolean usesRetryBudget) {
+    this.mayHaveRun = mayHaveRun;
+    this.usesRetryBudget = usesRetryBudget;
+  }
 
-  /** Returns whether a request of this kind may be sent again. */
-  abstract boolean allowsAnother(RequestKind kind);
+  /** Returns whether the upstream may have run the request. */
+  boolean mayHaveRun() {
+    return mayHaveRun;
+  }
 
   /** Returns whether another attempt must be taken from the retry budget. */
-  abstract boolean usesRetryBudget();
+  boolean usesRetryBudget() {
+    return usesRetryBudget;
+  }
 }
--- a/server/src/main/java/org/clementinequay/server/gateway/AttemptHistory.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/AttemptHistory.java
@@ -2,9 +2,14 @@
 
 import java.util.HashSet;
 import java.util.Set;
+import org.clementinequay.core.forward.RequestKind;
 
-/** The attempts of one request so far, and what they allow to tell its caller. */
+/**
+ * The attempts of one request so far, whether they allow another one, and what they allow to tell
+ * its caller.
+ */
 final class AttemptHistory {
+  private final RequestKind kind;
   private final Set<String> tried = new HashSet<>();
 
   /** Upstreams that were given up for silence alone; they may be sound and go on. */
@@ -20,7 +25,15 @@
    */
   private boolean lastCounted;
 
+  /** Whether an attempt was started and its end was not recorded yet. */
+  private boolean running;
+
   private boolean mayHaveRun;
+  private boolean lastUsesRetryBudget;
+
+  AttemptHistory(RequestKind kind) {
+    this.kind = kind;
+  }
 
   /** Returns the number of attempts that count towards the limit of the route. */
   int count() {
@@ -37,11 +50,29 @@
     return mayHaveRun;
   }
 
-  void recordMayHaveRun() {
-    mayHaveRun = true;
+  /**
+   * Returns whether the request may be sent again. One that runs at most once may not while an
+   * attempt is running, whatever becomes of its answer, or after one that may have run it.
+   */
+  boolean allowsAnother() {
+    return kind.retryable() || !(running || mayHaveRun);
   }
 
+  /** Returns whether another attempt must be taken from the retry budget. */
+  boolean nextUsesRetryBudget() {
+    return running || lastUsesRetryBudget;
+  }
+
+  /**
+   * Records that an attempt starts.
+   *
+   * @throws IllegalStateException if {@link #allowsAnother} is false
+   */
   void recordStart(String upstreamId) {
+    if (!allowsAnother()) {
+      throw new IllegalStateException("the request runs at most once and was sent before");
+    }
+    running = true;
     lastCounted = !rejected.remove(upstreamId);
     if (lastCounted) {
       count++;
@@ -49,21 +80,47 @@
     tried.add(upstreamId);
   }
 
-  /** Takes back the last attempt, which no upstream received. */
+  private void recordEnd(AttemptEnd end) {
+    running = false;
+    mayHaveRun |= end.mayHaveRun();
+    lastUsesRetryBudget = end.usesRetryBudget();
+  }
+
+  /** Records that the upstream of the last attempt has run the request or may run it. */
+  void recordMayHaveRun() {
+    recordEnd(AttemptEnd.MAY_HAVE_RUN);
+  }
+
+  /** Records that no upstream received the last attempt, which does not count then. */
   void recordNotSent() {
+    recordEnd(AttemptEnd.NOT_SENT);
+    takeBackLast();
+  }
+
+  /**
+   * Records that another process than the listed upstream received and rejected the last attempt,
+   * which does not count then.
+   */
+  void recordMisdirected() {
+    recordEnd(AttemptEnd.REJECTED);
+    takeBackLast();
+  }
+
+  private void takeBackLast() {
     if (lastCounted) {
       count--;
       lastCounted = false;
     }
   }
 
-  /** Records that the upstream of the last attempt did not run the request. */
+  /** Records that the upstream of the last attempt stated that it did not run the request. */
   void recordRejected(String upstreamId) {
+    recordEnd(AttemptEnd.REJECTED);
     if (silent.isEmpty()) {
       rejected.add(upstreamId);
     } else {
       // Otherwise the rejections of full upstreams would use up the attempts of the request.
-      recordNotSent();
+      takeBackLast();
     }
   }
 
--- a/server/src/main/java/org/clementinequay/server/gateway/GatewayAttempt.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/GatewayAttempt.java
@@ -162,12 +162,13 @@
 
   /**
    * Replaces the attempt by one on the largest model if the confidence of the answer is too low and
-   * another attempt is allowed.
+   * another attempt is allowed. A request that runs at most once keeps its answer: the smaller
+   * model has run it.
    */
   private void escalate() {
     int confidence = head.confidence().orElse(DEFAULT_CONFIDENCE);
     double required = requiredConfidence();
-    if (confidence >= required || !forwarder.tryRetry(AttemptEnd.NOT_RUN)) {
+    if (confidence >= required || !forwarder.tryRetry()) {
       return;
     }
     forwarder.log(
@@ -387,7 +388,7 @@
       // Another process has the address now. The listed instance has ended and received nothing, so
       // this does not count as an attempt.
       gateway.health.recordUnreachable(instance.id());
-      forwarder.history.recordNotSent();
+      forwarder.history.recordMisdirected();
     } else {
       gateway.health.recordAbandoned(instance.id());
       forwarder.history.recordRejected(instance.id());
@@ -405,7 +406,7 @@
     recordOutcome(true);
     forwarder.placement.recordFailure(instance);
     forwarder.log("upstream_failed", "upstream", instance.id(), "status", head.status());
-    if (forwarder.tryRetry(AttemptEnd.MAY_HAVE_RUN)) {
+    if (forwarder.tryRetry()) {
       forwarder.startAttempt();
       return;
     }
@@ -528,8 +529,6 @@
       gateway.crashGuard.attemptBroken(instance, startedNanos, forwarder.sharedPartIds);
     }
     forwarder.events.discardPartialEvent();
-    forwarder.retryOrFail(
-        offered ? AttemptEnd.MAY_HAVE_RUN : AttemptEnd.NOT_SENT,
-        "the upstream did not answer whole");
+    forwarder.retryOrFail("the upstream did not answer whole");
   }
 }
--- a/server/src/main/java/org/clementinequay/server/gateway/RequestForwarder.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/RequestForwarder.java
@@ -45,7 +45,7 @@
   /** Parts of the prompt that other requests may share. */
   final List<String> sharedPartIds;
 
-  final AttemptHistory history = new AttemptHistory();
+  final AttemptHistory history;
   final AdmissionStep admission;
   final WaitStep waiting;
   final AttemptPlacement placement;
@@ -73,6 +73,7 @@
     this.gateway = gateway;
     this.request = request;
     this.route = route;
+    this.history = new AttemptHistory(route.kind());
     this.account = account;
     this.body = body;
     this.response = response;
@@ -363,23 +364,27 @@
   }
 
   /**
-   * Returns whether another attempt may be started: the kind of request, the route, the remaining
-   * time and the retry budget must allow it. Takes a retry from the budget if one is needed.
+   * Returns whether another attempt may be started after the last one, or in place of one that is
+   * running. Takes a retry from the budget if one is needed.
    */
-  boolean tryRetry(AttemptEnd end) {
-    return end.allowsAnother(route.kind())
-        && canAttemptAgain()
-        && (!end.usesRetryBudget() || gateway.tryRetry(service));
+  boolean tryRetry() {
+    return canAttemptAgain() && (!history.nextUsesRetryBudget() || gateway.tryRetry(service));
   }
 
-  /** Returns whether the route, the remaining time and a stop allow another attempt. */
+  /**
+   * Returns whether the earlier attempts, the route, the remaining time and a stop allow another
+   * attempt.
+   */
   boolean canAttemptAgain() {
-    return history.count() < route.maxAttempts() && times.allowsAttempt() && admission.canFinish();
+    return history.allowsAnother()
+        && history.count() < route.maxAttempts()
+        && times.allowsAttempt()
+        && admission.canFinish();
   }
 
   /** Starts another attempt if {@link #tryRetry} allows it; otherwise fails the request. */
-  void retryOrFail(AttemptEnd end, String reason) {
-    if (tryRetry(end)) {
+  void retryOrFail(String reason) {
+    if (tryRetry()) {
       startAttempt();
     } else if (!admission.canFinish()) {
       reject(admission.stopRejection());
--- a/server/src/main/java/org/clementinequay/server/gateway/WaitStep.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/WaitStep.java
@@ -66,7 +66,7 @@
   /** Offers the request, which an upstream rejected, to another one, or lets it wait for room. */
   void retryAfterRejection() {
     if (!canWait() || hasOther()) {
-      forwarder.retryOrFail(AttemptEnd.NOT_RUN, FULL);
+      forwarder.retryOrFail(FULL);
     } else {
       waitForRoom();
     }
