Take room for a whole answer before it is received

Cause: unfinished answers have a budget, and what is held for callers has one, but a complete answer passed from the first to the second beyond any limit. Slow readers are turned away only while somebody waits for room, and answers never waited; 225 MB arrived within the second that it takes to tell who is slow.

Change: AnswerRoom takes room in the callers' budget before a whole answer above 16 KiB is received, or before it is sent if no length was stated. Without room nothing more is read from the upstream. The answer waits like a body, so that callers who do not read are turned away for it, and not those who do. While it waits, silence is not counted against the upstream. If nobody gives anything back, it ends with 502 and without another attempt.

--- a/core/src/main/java/org/clementinequay/core/ingress/IngressBudget.java
+++ b/core/src/main/java/org/clementinequay/core/ingress/IngressBudget.java
@@ -24,8 +24,11 @@
  * slower than {@link #MIN_BYTES_PER_SECOND} are turned away, those first that hold the most bytes
  * for the longest time; if there is none, the first in the queue is turned away after {@link
  * #MAX_WAIT_NANOS}, so that the others can go on. A small request that finds no room takes that of
- * the largest holder. Time passes in {@link #step} only, and little of it at once: callers are not
- * charged with the time for which the host itself stood still.
+ * the largest holder. Room for a whole answer is taken in the same way before the answer is
+ * received, but an answer waits for as long as others are on their way to callers who read.
+ *
+ * <p>Time passes in {@link #step} only, and little of it at once: callers are not charged with the
+ * time for which the host itself stood still.
  */
 public final class IngressBudget {
   /** Bytes of a request up to which it may use the whole budget. */
@@ -179,16 +182,68 @@
     if (share.bytes + moreBytes <= SMALL_BYTES) {
       return takeOrDisplace(share, moreBytes) ? Admission.ADMITTED : Admission.REFUSED;
     }
-    if (fits(share, moreBytes) && waiting.stream().noneMatch(this::accountHasRoom)) {
+    if (fitsBeforeWaiting(share, moreBytes)) {
       add(share, moreBytes);
       return Admission.ADMITTED;
     }
+    return holdBack(share, moreBytes);
+  }
+
+  private boolean fitsBeforeWaiting(IngressShare share, long moreBytes) {
+    return fits(share, moreBytes) && waiting.stream().noneMatch(this::accountHasRoom);
+  }
+
+  private Admission holdBack(IngressShare share, long moreBytes) {
     share.wantedBytes = moreBytes;
     share.waitingNanos = timeNanos;
     waiting.add(share);
     return Admission.HELD_BACK;
   }
 
+  synchronized Admission takeAnswerRoom(IngressShare share, long wholeBytes) {
+    if (share.leaves() || share.closed) {
+      return Admission.REFUSED;
+    }
+    if (share.answerBytes >= wholeBytes) {
+      return Admission.ADMITTED;
+    }
+    if (share.wantsAnswer) {
+      return Admission.HELD_BACK;
+    }
+    boolean small = share.bytes + wholeBytes <= SMALL_BYTES;
+    if (!small && wholeBytes > roomForLarge() * ACCOUNT_FRACTION) {
+      recordTurnedAway(share, TurnAway.MEMORY);
+      return Admission.REFUSED;
+    }
+    boolean admitted =
+        small
+            ? fits(share, wholeBytes) || displaceLargest(share, wholeBytes)
+            : fitsBeforeWaiting(share, wholeBytes);
+    if (admitted) {
+      beginAnswer(share, wholeBytes);
+      return Admission.ADMITTED;
+    }
+    share.wantsAnswer = true;
+    return holdBack(share, wholeBytes);
+  }
+
+  private void beginAnswer(IngressShare share, long wholeBytes) {
+    add(share, wholeBytes);
+    share.answerBytes = wholeBytes;
+    enter(share, IngressPhase.RECEIVING_ANSWER);
+  }
+
+  synchronized void releaseAnswerRoom(IngressShare share) {
+    if (share.closed) {
+      return;
+    }
+    stopWaiting(share);
+    add(share, -share.answerBytes);
+    share.answerBytes = 0;
+    run(share);
+    resumeWaiting();
+  }
+
   /** Takes bytes at once; if they do not fit, the largest holder gives way to a small request. */
   private boolean takeOrDisplace(IngressShare share, long moreBytes) {
     boolean hasRoom = fits(share, moreBytes) || displaceLargest(share, moreBytes);
@@ -203,7 +258,7 @@
   private boolean displaceLargest(IngressShare share, long moreBytes) {
     Optional<IngressShare> largest =
         shares.stream()
-            .filter(other -> other.phase.holdsForSlowCallers() && !other.leaves())
+            .filter(other -> other.phase.holdsForSlowPeers() && !other.leaves())
             .max(Comparator.comparingLong(other -> other.bytes))
             .filter(other -> other.bytes > share.bytes + moreBytes)
             .filter(other -> mayDisplace(share, moreBytes));
@@ -246,10 +301,19 @@
     }
   }
 
-  synchronized void takeAnswer(IngressShare share, long answerBytes) {
-    if (!share.closed) {
-      add(share, answerBytes);
-      enter(share, IngressPhase.ANSWER);
+  synchronized void takeAnswer(IngressShare share, long wholeBytes) {
+    if (share.closed) {
+      return;
+    }
+    stopWaiting(share);
+    long lessBytes = share.answerBytes - wholeBytes;
+    add(share, -lessBytes);
+    share.answerBytes = wholeBytes;
+    // The caller gets its answer, even if it was to be turned away while that came.
+    share.turnedAway = false;
+    enter(share, IngressPhase.ANSWER);
+    if (lessBytes > 0) {
+      resumeWaiting();
     }
   }
 
@@ -275,6 +339,7 @@
     add(share, CONNECTION_BYTES - share.bytes);
     addToAccount(share, -share.bytes);
     share.account = "";
+    share.answerBytes = 0;
     share.turnedAway = false;
     enter(share, IngressPhase.IDLE);
     resumeWaiting();
@@ -314,6 +379,7 @@
   private void stopWaiting(IngressShare share) {
     if (share.wantedBytes > 0) {
       share.wantedBytes = 0;
+      share.wantsAnswer = false;
       waiting.remove(share);
     }
   }
@@ -391,13 +457,22 @@
       leaving += share.bytes;
       turnAway(share, TurnAway.SLOW);
     }
-    if (leaving < first.wantedBytes && timeNanos - first.waitingNanos > MAX_WAIT_NANOS) {
+    if (leaving < first.wantedBytes
+        && timeNanos - first.waitingNanos > MAX_WAIT_NANOS
+        && !(first.wantsAnswer && answersGiveBack())) {
       turnAway(first, TurnAway.MEMORY);
     }
   }
 
+  /**
+   * Returns whether a caller that reads, or an upstream that sends, has an answer that will end.
+   */
+  private boolean answersGiveBack() {
+    return shares.stream().anyMatch(share -> share.phase.holdsAnswer() && !share.leaves());
+  }
+
   private boolean isSlow(IngressShare share) {
-    return share.phase.holdsForSlowCallers()
+    return share.phase.holdsForSlowPeers()
         && share.wantedBytes == 0
         && !share.leaves()
         && timeNanos - share.progressNanos >= SLOW_NANOS;
@@ -410,12 +485,21 @@
   private void resumeWaiting() {
     for (IngressShare share : List.copyOf(waiting)) {
       if (fits(share, share.wantedBytes)) {
-        waiting.remove(share);
-        add(share, share.wantedBytes);
-        share.wantedBytes = 0;
-        share.progressNanos = timeNanos;
-        share.holder.resume();
+        resume(share);
       }
     }
   }
+
+  private void resume(IngressShare share) {
+    long wanted = share.wantedBytes;
+    boolean answer = share.wantsAnswer;
+    stopWaiting(share);
+    if (answer) {
+      beginAnswer(share, wanted);
+    } else {
+      add(share, wanted);
+      share.progressNanos = timeNanos;
+    }
+    share.holder.resume();
+  }
 }
--- a/core/src/main/java/org/clementinequay/core/ingress/IngressShare.java
+++ b/core/src/main/java/org/clementinequay/core/ingress/IngressShare.java
@@ -15,6 +15,12 @@
   /** Bytes for which the holder waits; 0 if it does not wait. */
   long wantedBytes;
 
+  /** Whether it waits for an answer, and not for a body. */
+  boolean wantsAnswer;
+
+  /** Part of {@link #bytes} that is for an answer. */
+  long answerBytes;
+
   long phaseNanos;
   long progressNanos;
   long progressBytes;
@@ -74,9 +80,9 @@
     return budget.takeBody(this, moreBytes);
   }
 
-  /** Records bytes that the caller sent or read. */
+  /** Records bytes that the caller sent or read, or that its answer grew by. */
   public void recordProgress(long movedBytes) {
-    if (phase.holdsForSlowCallers()) {
+    if (phase.holdsForSlowPeers()) {
       budget.recordProgress(this, movedBytes);
     }
   }
@@ -96,9 +102,25 @@
     return budget.isTurnedAway(this);
   }
 
-  /** Takes bytes of an answer that must be sent, also beyond the limit. */
-  public void takeAnswer(long answerBytes) {
-    budget.takeAnswer(this, answerBytes);
+  /**
+   * Takes room for a whole answer before it is received; the answer to a repeat is that of the
+   * first call, or {@link Admission#ADMITTED} once there is room.
+   */
+  public Admission takeAnswerRoom(long wholeBytes) {
+    return budget.takeAnswerRoom(this, wholeBytes);
+  }
+
+  /** Gives back the room for an answer that does not come, or stops waiting for it. */
+  public void releaseAnswerRoom() {
+    budget.releaseAnswerRoom(this);
+  }
+
+  /**
+   * Begins to send a whole answer. Room that was taken for it is used; beyond that the bytes are
+   * taken whatever the limit.
+   */
+  public void takeAnswer(long wholeBytes) {
+    budget.takeAnswer(this, wholeBytes);
   }
 
   /** Gives back what was taken for a request. */
--- a/core/src/test/java/org/clementinequay/core/ingress/IngressBudgetTest.java
+++ b/core/src/test/java/org/clementinequay/core/ingress/IngressBudgetTest.java
@@ -193,6 +193,105 @@
     }
   }
 
+  /** Whole answers, which are held until their callers have read them. */
+  public static class Answers extends Fixture {
+    private static final int HOLDERS = 7;
+
+    /** Returns a caller whose request runs and whose answer asked for room. */
+    private Caller answer(int bytes) {
+      Caller caller = open("a" + callers.size());
+      caller.share.beginRequest(100, 5);
+      caller.share.takeAnswerRoom(bytes);
+      return caller;
+    }
+
+    private void fillWithAnswers() {
+      for (int i = 0; i < HOLDERS; i++) {
+        answer(LARGE_BYTES - 20_000).share.takeAnswer(LARGE_BYTES - 20_000);
+      }
+    }
+
+    private void runWhileHoldersRead(long millis) {
+      for (long t = 0; t < millis; t += 50) {
+        callers.stream().limit(HOLDERS).forEach(c -> c.share.recordProgress(LARGE_BYTES / 20));
+        run(0);
+      }
+    }
+
+    // Guards against a host that ends because answers wait for callers who do not read (review/13).
+    @Test
+    public void areHeldBackWhileThereIsNoRoom() {
+      fillWithAnswers();
+      for (int i = 0; i < 5; i++) {
+        assertEquals(answer(LARGE_BYTES).resumed, 0);
+      }
+      assertTrue(budget.bytes() <= BUDGET_BYTES);
+    }
+
+    @Test
+    public void takeTheRoomOfCallersWhoDoNotRead() {
+      fillWithAnswers();
+      Caller held = answer(LARGE_BYTES);
+      run(1100);
+      assertEquals(held.resumed, 1);
+      assertEquals(held.share.takeAnswerRoom(LARGE_BYTES), Admission.ADMITTED);
+      assertEquals(budget.turnedAway(TurnAway.SLOW), 2);
+    }
+
+    // Guards against answers that are lost although all callers read.
+    @Test
+    public void waitForCallersWhoRead() {
+      fillWithAnswers();
+      Caller held = answer(LARGE_BYTES);
+      runWhileHoldersRead(3000);
+      assertEquals(held.limit, Optional.empty());
+      assertEquals(budget.turnedAway(TurnAway.SLOW), 0);
+      callers.get(0).share.endRequest();
+      callers.get(1).share.endRequest();
+      assertEquals(held.resumed, 1);
+    }
+
+    // Guards against a host on which all answers wait for bodies that are held for other attempts.
+    @Test
+    public void areTurnedAwayIfNothingIsGivenBack() {
+      for (int i = 0; i < HOLDERS; i++) {
+        body(LARGE_BYTES - 20_000).share.endBody();
+      }
+      Caller held = answer(LARGE_BYTES);
+      run(1200);
+      assertEquals(held.limit, Optional.of(TurnAway.MEMORY));
+    }
+
+    @Test
+    public void smallOnesPassLargeOnesThatWait() {
+      fillWithAnswers();
+      answer(LARGE_BYTES);
+      assertEquals(open("small").share.takeAnswerRoom(40_000), Admission.ADMITTED);
+    }
+
+    @Test
+    public void thatDoNotComeGiveBackTheirRoom() {
+      Caller caller = answer(LARGE_BYTES);
+      long held = budget.bytes();
+      caller.share.releaseAnswerRoom();
+      assertEquals(budget.bytes(), held - LARGE_BYTES);
+      fillWithAnswers();
+      Caller waiting = answer(LARGE_BYTES);
+      waiting.share.releaseAnswerRoom();
+      assertFalse(budget.step(0, HEADER_TIMEOUT_MILLIS));
+    }
+
+    @Test
+    public void thatAreSentUseTheRoomThatWasTaken() {
+      Caller caller = answer(LARGE_BYTES);
+      long held = budget.bytes();
+      caller.share.takeAnswer(LARGE_BYTES);
+      assertEquals(budget.bytes(), held);
+      caller.share.endRequest();
+      assertEquals(budget.bytes(), IngressBudget.CONNECTION_BYTES);
+    }
+  }
+
   /** Heads, which are read before anything is known of their request. */
   public static class Heads extends Fixture {
     /** Milliseconds, and whether a head without end is closed by then. */
--- a/server/src/main/java/org/clementinequay/server/gateway/CallerExchange.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/CallerExchange.java
@@ -6,6 +6,8 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.clementinequay.core.forward.ForwardingConfiguration;
+import org.clementinequay.core.ingress.Admission;
+import org.clementinequay.core.ingress.IngressHolder;
 import org.eclipse.jetty.http.HttpField;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpHeader;
@@ -113,6 +115,23 @@
         ErrorResponses.body(reason));
   }
 
+  @Override
+  public Admission takeRoom(long bytes, IngressHolder holder) {
+    endPoint.setReceiver(holder);
+    return endPoint.share().takeAnswerRoom(bytes);
+  }
+
+  @Override
+  public void recordReceived(int bytes) {
+    endPoint.share().recordProgress(bytes);
+  }
+
+  @Override
+  public void releaseRoom() {
+    endPoint.setReceiver(null);
+    endPoint.share().releaseAnswerRoom();
+  }
+
   @Override
   public void sendComplete(int status, HttpFields headers, byte[] body) {
     if (headSet) {
@@ -125,6 +144,8 @@
         // What is left of the request is not read.
         response.getHeaders().put(HttpHeader.CONNECTION, "close");
       }
+      // From here on a caller who is turned away loses its connection.
+      endPoint.setReceiver(null);
       endPoint.share().takeAnswer(body.length);
       response.getHeaders().put(HttpHeader.CONTENT_LENGTH, body.length);
       response.write(true, ByteBuffer.wrap(body), callback);
--- a/server/src/main/java/org/clementinequay/server/gateway/GatewayAttempt.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/GatewayAttempt.java
@@ -1,6 +1,5 @@
 package org.clementinequay.server.gateway;
 
-import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
 import org.clementinequay.core.cascade.EscalationRule;
 import org.clementinequay.core.dispatch.AnswerBudget;
@@ -27,6 +26,9 @@
   /** Bytes of an unfinished answer that are not counted: ordinary events take no lock. */
   private static final int MAX_UNCOUNTED_BYTES = 16 << 10;
 
+  /** Length of a response body that states none. */
+  private static final long UNKNOWN_LENGTH = -1;
+
   /** Confidence of a response that states none. */
   private static final int DEFAULT_CONFIDENCE = 100;
 
@@ -38,7 +40,7 @@
   private final AnswerJudge judge;
   private final StreamRelay relay;
   private final SilenceStep silence;
-  private final ByteArrayOutputStream bufferedBody = new ByteArrayOutputStream();
+  private final WholeBody bufferedBody = new WholeBody();
   UpstreamTransport.Call call;
   private ResponseHead head;
 
@@ -48,6 +50,9 @@
   /** Whether the body has a length or chunks, so that its end is not that of the connection. */
   private boolean framed;
 
+  /** Length that the upstream states of the body, in bytes. */
+  private long statedLength = UNKNOWN_LENGTH;
+
   private boolean released;
   private long countedBytes;
 
@@ -73,6 +78,11 @@
 
   /** Fails over to another upstream if this one is stalled and the budget allows a retry. */
   void checkProgress(long nowNanos) {
+    if (forwarder.answerRoom.isWaiting()) {
+      // This host holds the answer back.
+      silence.recordReceived();
+      return;
+    }
     if (silence.isStalled(nowNanos) && forwarder.tryRetryElsewhere()) {
       failOver("no progress for " + silence.millis(nowNanos) + " ms");
     }
@@ -143,6 +153,7 @@
     }
     head = response;
     relaying = judge.isStream(response, forwarder.committed);
+    statedLength = headers.getLongField(HttpHeader.CONTENT_LENGTH);
     framed =
         headers.contains(HttpHeader.CONTENT_LENGTH)
             || headers.contains(HttpHeader.TRANSFER_ENCODING);
@@ -270,16 +281,31 @@
   }
 
   private void bufferBody(ByteBuffer bytes, Callback next) {
-    byte[] part = new byte[bytes.remaining()];
-    bytes.get(part);
-    forwarder.openCalls.add(next::succeeded);
-    if (bufferedBody.size() + part.length > MAX_BUFFERED_BODY_BYTES) {
+    int length = bufferedBody.size() + bytes.remaining();
+    if (Math.max(length, statedLength) > MAX_BUFFERED_BODY_BYTES) {
+      bytes.position(bytes.limit());
+      forwarder.openCalls.add(next::succeeded);
       abandonAndFail("the response body is longer than " + MAX_BUFFERED_BODY_BYTES + " bytes");
       return;
     }
-    bufferedBody.writeBytes(part);
-    // The array may be twice as long.
-    hold(2L * bufferedBody.size());
+    if (statedLength == UNKNOWN_LENGTH) {
+      store(bytes, next);
+      // The array may be twice as long.
+      hold(2L * bufferedBody.size());
+      return;
+    }
+    forwarder.answerRoom.whenTaken(statedLength, () -> store(bytes, next));
+  }
+
+  private void store(ByteBuffer bytes, Callback next) {
+    if (isActive()) {
+      bufferedBody.reserve((int) statedLength);
+      byte[] part = new byte[bytes.remaining()];
+      bytes.get(part);
+      bufferedBody.writeBytes(part);
+      forwarder.response.recordReceived(part.length);
+    }
+    forwarder.openCalls.add(next::succeeded);
   }
 
   /** Counts the bytes that this attempt holds of its answer, unless they are few. */
@@ -319,7 +345,7 @@
     } else if (relaying) {
       streamEnded();
     } else {
-      responseEnded();
+      forwarder.answerRoom.whenTaken(bufferedBody.size(), this::responseEnded);
     }
   }
 
@@ -345,7 +371,7 @@
     if (forwarder.committed) {
       forwarder.openCalls.addInOrder(forwarder.response::end);
     } else {
-      forwarder.sendComplete(head.status(), head.returned(), bufferedBody.toByteArray());
+      forwarder.sendComplete(head.status(), head.returned(), bufferedBody.bytes());
     }
   }
 
@@ -358,6 +384,9 @@
   }
 
   private void responseEnded() {
+    if (!isActive()) {
+      return;
+    }
     switch (judge.judge(head, forwarder.committed)) {
       case REJECTED -> attemptRejected();
       case FAILED -> upstreamFailed();
@@ -377,7 +406,7 @@
         head.status(),
         "ms",
         forwarder.times.elapsedMillis());
-    forwarder.sendComplete(head.status(), head.returned(), bufferedBody.toByteArray());
+    forwarder.sendComplete(head.status(), head.returned(), bufferedBody.bytes());
   }
 
   private void attemptRejected() {
@@ -421,7 +450,7 @@
           ErrorResponses.headers(ErrorResponses.BAD_GATEWAY, 0),
           ErrorResponses.body("the upstream failed"));
     } else {
-      forwarder.sendComplete(head.status(), head.returned(), bufferedBody.toByteArray());
+      forwarder.sendComplete(head.status(), head.returned(), bufferedBody.bytes());
     }
   }
 
--- a/server/src/main/java/org/clementinequay/server/gateway/RequestForwarder.java
+++ b/server/src/main/java/org/clementinequay/server/gateway/RequestForwarder.java
@@ -49,6 +49,7 @@
   final AdmissionStep admission;
   final WaitStep waiting;
   final AttemptPlacement placement;
+  final AnswerRoom answerRoom = new AnswerRoom(this);
   private final AccountShareStep accountShare;
   final EventSplitter events;
   final OpenCalls openCalls = new OpenCalls(this);
@@ -256,6 +257,7 @@
 
   void send(UpstreamInstance instance, EngineSelector.Choice choice) {
     long remaining = times.remainingMillis();
+    answerRoom.release();
     history.recordStart(instance.id());
     gateway.fullUpstreams.recordOffer(instance.id(), gateway.clock.nanoTime());
     GatewayAttempt attempt = new GatewayAttempt(this, instance, choice);
@@ -287,6 +289,12 @@
       attempt.failed(e, false);
       return;
     }
+    logSend(instance, choice, remaining);
+    recordSessionVersion(instance);
+    openCalls.add(attempt.call::start);
+  }
+
+  private void logSend(UpstreamInstance instance, EngineSelector.Choice choice, long remaining) {
     log(
         "send",
         "attempt",
@@ -311,8 +319,6 @@
         gateway.instanceListAgeNanos() / 1_000_000,
         "configuration",
         gateway.configuration().map(ForwardingConfiguration::version).orElse(0L));
-    recordSessionVersion(instance);
-    openCalls.add(attempt.call::start);
   }
 
   void recordSessionVersion(UpstreamInstance instance) {
@@ -458,6 +464,7 @@
 
   void finish(int status, String reason) {
     finished = true;
+    answerRoom.dropWaiting();
     gateway.observer.requestFinished(
         account.map(AccountKeys::name).orElse(""),
         route.name(),
--- a/server/src/test/java/org/clementinequay/server/gateway/GatewayFixture.java
+++ b/server/src/test/java/org/clementinequay/server/gateway/GatewayFixture.java
@@ -23,10 +23,13 @@
 import org.clementinequay.core.forward.RouteTable;
 import org.clementinequay.core.forward.ServiceProfile;
 import org.clementinequay.core.forward.UpstreamInstance;
+import org.clementinequay.core.ingress.Admission;
+import org.clementinequay.core.ingress.IngressHolder;
 import org.clementinequay.core.time.ManualClock;
 import org.clementinequay.server.upstream.UpstreamListener;
 import org.clementinequay.server.upstream.UpstreamTransport;
 import org.eclipse.jetty.http.HttpFields;
+import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.util.Callback;
 
@@ -203,6 +206,9 @@
     boolean abandoned;
     boolean answered;
 
+    /** Parts of the body of which the gateway took the bytes. */
+    int contentTaken;
+
     private SentAttempt(HttpFields headers, UpstreamListener listener) {
       this.headers = headers;
       this.listener = listener;
@@ -227,10 +233,18 @@
       listener.headers(status, HttpFields.build(ownRequestId()).put("confidence", confidence));
     }
 
+    void sendHead(int status, HttpHeader header, String value) {
+      listener.headers(status, HttpFields.build(ownRequestId()).put(header, value));
+    }
+
     void sendContent(String body) {
       listener.content(
           ByteBuffer.wrap(body.getBytes(StandardCharsets.UTF_8)),
-          Callback.from(GatewayFixture.this::checkOpenCall));
+          Callback.from(
+              () -> {
+                checkOpenCall();
+                contentTaken++;
+              }));
     }
 
     void endResponse() {
@@ -265,6 +279,23 @@
     boolean complete;
     boolean aborted;
     boolean disconnected;
+    Admission admission = Admission.ADMITTED;
+    IngressHolder roomHolder;
+    boolean roomReleased;
+
+    @Override
+    public Admission takeRoom(long bytes, IngressHolder holder) {
+      roomHolder = holder;
+      return admission;
+    }
+
+    @Override
+    public void recordReceived(int bytes) {}
+
+    @Override
+    public void releaseRoom() {
+      roomReleased = true;
+    }
 
     @Override
     public void sendComplete(int newStatus, HttpFields newHeaders, byte[] bytes) {
